Set down the workspace, the core types and the links between processes

The folders, the numbered result codes, the control thread with its bounded queue, the timer service, the interpreter for SCXML charts, the message types and their MessagePack codec, the nng transport, and the links that make it reliable: sequence numbers, acknowledgements on traffic, replaced connections, a lease. Also HTTP over ulfius, metrics over prometheus-cpp and the client of the platform's tables and objects.

Ruled out for the transport: pair1 in polyamorous mode and raw rep, whose sends drop messages silently once a small queue is full; streams, which need a framing of our own. PUSH and PULL sockets push back instead of dropping, so a link can tell what was not taken.

--- /dev/null
+++ b/packages/core/imetrics.h
@@ -0,0 +1,20 @@
+#ifndef CYCLAMENWALK_CORE_IMETRICS_H
+#define CYCLAMENWALK_CORE_IMETRICS_H
+
+#include "core/types/metric.h"
+
+#include <cstdint>
+
+namespace cyclamenwalk {
+
+/// Counters of a process. Callable from any thread.
+class IMetrics {
+public:
+  virtual ~IMetrics() = default;
+
+  virtual void count(Metric What, std::uint64_t Amount = 1) = 0;
+};
+
+} // namespace cyclamenwalk
+
+#endif // CYCLAMENWALK_CORE_IMETRICS_H
--- /dev/null
+++ b/packages/core/internal/ids.cpp
@@ -0,0 +1,91 @@
+#include "core/types/ids.h"
+
+#include <charconv>
+#include <random>
+
+namespace cyclamenwalk {
+
+namespace {
+
+constexpr int HexBase = 16;
+constexpr std::size_t IncarnationDigits = 16;
+
+struct OwnedSequence {
+  Incarnation m_Owner;
+  std::uint64_t m_Sequence = 0;
+};
+
+std::string toText(char Prefix, Incarnation Owner, std::uint64_t Sequence) {
+  std::string Text(1, Prefix);
+  Text += toString(Owner);
+  Text += '-';
+  Text += std::to_string(Sequence);
+  return Text;
+}
+
+std::optional<OwnedSequence> parseOwned(char Prefix, std::string_view Text) {
+  constexpr std::size_t DashAt = 1 + IncarnationDigits;
+  if (Text.size() < DashAt + 2 || Text[0] != Prefix || Text[DashAt] != '-')
+    return std::nullopt;
+  auto Owner = parseIncarnation(Text.substr(1, IncarnationDigits));
+  std::uint64_t Sequence = 0;
+  const char *End = Text.data() + Text.size();
+  auto Read = std::from_chars(Text.data() + DashAt + 1, End, Sequence);
+  if (!Owner || Read.ec != std::errc() || Read.ptr != End)
+    return std::nullopt;
+  return OwnedSequence{*Owner, Sequence};
+}
+
+} // namespace
+
+Incarnation drawIncarnation() {
+  std::random_device Source;
+  std::uniform_int_distribution<std::uint64_t> Any(1);
+  return Incarnation{Any(Source)};
+}
+
+std::string toString(Incarnation Id) {
+  char Digits[IncarnationDigits + 1];
+  std::snprintf(Digits, sizeof(Digits), "%016llx",
+                static_cast<unsigned long long>(Id.m_Value));
+  return Digits;
+}
+
+std::string toString(JobId Id) {
+  return toText('j', Id.m_Entry, Id.m_Sequence);
+}
+
+std::string toString(TaskId Id) {
+  return toString(Id.m_Job) + "-" + std::to_string(Id.m_Index);
+}
+
+std::string toString(TicketId Id) {
+  return toText('t', Id.m_Entry, Id.m_Sequence);
+}
+
+std::optional<Incarnation> parseIncarnation(std::string_view Text) {
+  if (Text.size() != IncarnationDigits)
+    return std::nullopt;
+  Incarnation Id;
+  const char *End = Text.data() + Text.size();
+  auto Read = std::from_chars(Text.data(), End, Id.m_Value, HexBase);
+  if (Read.ec != std::errc() || Read.ptr != End)
+    return std::nullopt;
+  return Id;
+}
+
+std::optional<JobId> parseJobId(std::string_view Text) {
+  auto Parsed = parseOwned('j', Text);
+  if (!Parsed)
+    return std::nullopt;
+  return JobId{Parsed->m_Owner, Parsed->m_Sequence};
+}
+
+std::optional<TicketId> parseTicketId(std::string_view Text) {
+  auto Parsed = parseOwned('t', Text);
+  if (!Parsed)
+    return std::nullopt;
+  return TicketId{Parsed->m_Owner, Parsed->m_Sequence};
+}
+
+} // namespace cyclamenwalk
--- /dev/null
+++ b/packages/core/tests/mocks/metricsmock.h
@@ -0,0 +1,27 @@
+#ifndef CYCLAMENWALK_CORE_TESTS_MOCKS_METRICSMOCK_H
+#define CYCLAMENWALK_CORE_TESTS_MOCKS_METRICSMOCK_H
+
+#include "core/imetrics.h"
+
+#include <array>
+
+namespace cyclamenwalk {
+
+/// Counts in memory, for assertions.
+class MetricsFake final : public IMetrics {
+public:
+  void count(Metric What, std::uint64_t Amount) override {
+    m_Counts[static_cast<std::size_t>(What)] += Amount;
+  }
+
+  std::uint64_t of(Metric What) const {
+    return m_Counts[static_cast<std::size_t>(What)];
+  }
+
+private:
+  std::array<std::uint64_t, static_cast<std::size_t>(Metric::Count)> m_Counts{};
+};
+
+} // namespace cyclamenwalk
+
+#endif // CYCLAMENWALK_CORE_TESTS_MOCKS_METRICSMOCK_H
--- /dev/null
+++ b/packages/http/blockinghttp.h
@@ -0,0 +1,15 @@
+#ifndef CYCLAMENWALK_HTTP_BLOCKINGHTTP_H
+#define CYCLAMENWALK_HTTP_BLOCKINGHTTP_H
+
+#include "core/types/time.h"
+#include "http/types/httpmessage.h"
+
+namespace cyclamenwalk {
+
+/// Sends \p Request and waits for the response; its status is 0 when none
+/// came. Not for the control thread.
+HttpResponse callHttp(const HttpRequest &Request, Duration Timeout);
+
+} // namespace cyclamenwalk
+
+#endif // CYCLAMENWALK_HTTP_BLOCKINGHTTP_H
--- /dev/null
+++ b/packages/http/tests/http_test.cpp
@@ -0,0 +1,86 @@
+#include "core/controlloop.h"
+#include "core/error.h"
+#include "http/blockinghttp.h"
+#include "http/httpclientmodule.h"
+#include "http/httpserver.h"
+
+#include <gtest/gtest.h>
+
+using namespace cyclamenwalk;
+
+namespace {
+
+constexpr const char *Listen = "127.0.0.1:18472";
+const std::string Base = std::string("http://") + Listen;
+
+HttpServer makeServer() {
+  HttpServer Server({Listen, 100});
+  Server.route("POST", "/echo/:name", [](const HttpRequest &Request) {
+    HttpResponse Response;
+    Response.m_Status = 201;
+    Response.m_Body = Request.path("name") + ":" + Request.query("q") + ":" +
+                      Request.header("x-tag") + ":" + Request.m_Body;
+    return Response;
+  });
+  Server.onTooLarge([](const HttpRequest &) {
+    HttpResponse Response;
+    Response.m_Status = 413;
+    return Response;
+  });
+  Server.onNotFound([](const HttpRequest &) {
+    HttpResponse Response;
+    Response.m_Status = 404;
+    return Response;
+  });
+  return Server;
+}
+
+HttpRequest post(const std::string &Path, const std::string &Body) {
+  HttpRequest Request;
+  Request.m_Method = "POST";
+  Request.m_Url = Base + Path;
+  Request.m_Headers["X-Tag"] = "t";
+  Request.m_Body = Body;
+  return Request;
+}
+
+} // namespace
+
+TEST(Http, servesRoutesLimitsAndUnknownPaths) {
+  HttpServer Server = makeServer();
+  Server.start();
+  HttpResponse Echo = callHttp(post("/echo/n?q=1", "body"), seconds(5));
+  EXPECT_EQ(Echo.m_Status, 201);
+  EXPECT_EQ(Echo.m_Body, "n:1:t:body");
+  EXPECT_EQ(
+      callHttp(post("/echo/n", std::string(101, 'x')), seconds(5)).m_Status,
+      413);
+  EXPECT_EQ(callHttp(post("/other", ""), seconds(5)).m_Status, 404);
+  Server.stop(seconds(1));
+  EXPECT_EQ(callHttp(post("/echo/n", ""), seconds(1)).m_Status, 0);
+}
+
+TEST(Http, asynchronousClientAnswersOnTheControlThread) {
+  HttpServer Server = makeServer();
+  Server.start();
+  ControlLoop Loop;
+  HttpClientModule Client(2, Loop);
+  int Answered = 0;
+  for (int I = 0; I < 5; ++I)
+    Client.client().send(post("/echo/n", ""), seconds(5), [&](HttpResponse R) {
+      EXPECT_EQ(R.m_Status, 201);
+      if (++Answered == 5)
+        Loop.stop();
+    });
+  Loop.run();
+  EXPECT_EQ(Answered, 5);
+}
+
+TEST(Http, refusesAddressesThatCannotBeListenedOn) {
+  EXPECT_THROW(HttpServer({"localhost:1"}), Error);
+  EXPECT_THROW(HttpServer({"127.0.0.1:0"}), Error);
+  HttpServer First = makeServer();
+  First.start();
+  HttpServer Second = makeServer();
+  EXPECT_THROW(Second.start(), Error);
+}
--- /dev/null
+++ b/packages/membership/internal/entryselection.h
@@ -0,0 +1,43 @@
+#ifndef CYCLAMENWALK_MEMBERSHIP_INTERNAL_ENTRYSELECTION_H
+#define CYCLAMENWALK_MEMBERSHIP_INTERNAL_ENTRYSELECTION_H
+
+#include "membership/membershipmodule.h"
+
+#include <functional>
+#include <set>
+
+namespace cyclamenwalk {
+
+/// Chooses entries by rendezvous hashing, so that a change of the list moves
+/// few links.
+class EntrySelection final : public IEntrySelection {
+public:
+  /// Looks the entries up in the store and calls offer().
+  using Lookup = std::function<void()>;
+
+  EntrySelection(SelectionSettings Settings, ILinks &Links,
+                 ITimerService &Timers, Lookup FromStore);
+  ~EntrySelection() override;
+
+  void start() override;
+  void offer(std::vector<EntryAddress> Entries) override;
+  void linkUp(Incarnation Entry) override;
+  void linkDown(Incarnation Entry) override;
+  const std::vector<EntryAddress> &known() const override;
+
+private:
+  void check();
+  std::vector<EntryAddress> chosen() const;
+
+  const SelectionSettings m_Settings;
+  ILinks &m_Links;
+  ITimerService &m_Timers;
+  const Lookup m_FromStore;
+  std::vector<EntryAddress> m_Known;
+  std::set<Incarnation> m_Linked;
+  TimerId m_Timer = 0;
+};
+
+} // namespace cyclamenwalk
+
+#endif // CYCLAMENWALK_MEMBERSHIP_INTERNAL_ENTRYSELECTION_H
--- /dev/null
+++ b/packages/platform/iobjectstore.h
@@ -0,0 +1,25 @@
+#ifndef CYCLAMENWALK_PLATFORM_IOBJECTSTORE_H
+#define CYCLAMENWALK_PLATFORM_IOBJECTSTORE_H
+
+#include "platform/types/table.h"
+
+#include <functional>
+#include <string>
+
+namespace cyclamenwalk {
+
+/// The platform's object store, with the threading of ITableService.
+class IObjectStore {
+public:
+  virtual ~IObjectStore() = default;
+
+  virtual void put(std::string Name, std::string Bytes,
+                   std::function<void(StoreStatus)> Done) = 0;
+
+  virtual void get(std::string Name,
+                   std::function<void(ObjectResult)> Done) = 0;
+};
+
+} // namespace cyclamenwalk
+
+#endif // CYCLAMENWALK_PLATFORM_IOBJECTSTORE_H
--- /dev/null
+++ b/packages/platform/itableservice.h
@@ -0,0 +1,28 @@
+#ifndef CYCLAMENWALK_PLATFORM_ITABLESERVICE_H
+#define CYCLAMENWALK_PLATFORM_ITABLESERVICE_H
+
+#include "platform/types/table.h"
+
+#include <functional>
+
+namespace cyclamenwalk {
+
+/// The platform's transactional table service. Calls come from the control
+/// thread, which is also where the results are given.
+class ITableService {
+public:
+  virtual ~ITableService() = default;
+
+  virtual void transact(Transaction Changes,
+                        std::function<void(TransactionResult)> Done) = 0;
+
+  virtual void read(RowKey Key, std::function<void(ReadResult)> Done) = 0;
+
+  /// All rows of \p Table whose keys start with \p Prefix.
+  virtual void scan(std::string Table, std::string Prefix,
+                    std::function<void(ScanResult)> Done) = 0;
+};
+
+} // namespace cyclamenwalk
+
+#endif // CYCLAMENWALK_PLATFORM_ITABLESERVICE_H
--- /dev/null
+++ b/packages/platform/memorystore.h
@@ -0,0 +1,30 @@
+#ifndef CYCLAMENWALK_PLATFORM_MEMORYSTORE_H
+#define CYCLAMENWALK_PLATFORM_MEMORYSTORE_H
+
+#include "platform/types/table.h"
+
+#include <memory>
+
+namespace cyclamenwalk {
+
+/// Tables and objects in memory, with the rules of the platform's service.
+/// Not thread-safe.
+class MemoryStore {
+public:
+  MemoryStore();
+  ~MemoryStore();
+
+  TransactionResult transact(const Transaction &Changes);
+  ReadResult read(const RowKey &Key) const;
+  ScanResult scan(const std::string &Table, const std::string &Prefix) const;
+  void put(const std::string &Name, std::string Bytes);
+  ObjectResult get(const std::string &Name) const;
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> m_Impl;
+};
+
+} // namespace cyclamenwalk
+
+#endif // CYCLAMENWALK_PLATFORM_MEMORYSTORE_H
--- /dev/null
+++ b/packages/platform/tests/mocks/platformfake.h
@@ -0,0 +1,97 @@
+#ifndef CYCLAMENWALK_PLATFORM_TESTS_MOCKS_PLATFORMFAKE_H
+#define CYCLAMENWALK_PLATFORM_TESTS_MOCKS_PLATFORMFAKE_H
+
+#include "platform/iobjectstore.h"
+#include "platform/itableservice.h"
+#include "platform/memorystore.h"
+
+#include <deque>
+
+namespace cyclamenwalk {
+
+/// A platform whose calls wait until the test answers them, and whose outages
+/// the test sets.
+class PlatformFake final : public ITableService, public IObjectStore {
+public:
+  enum class Fault { None, Down, ReplyLost };
+
+  void transact(Transaction Changes,
+                std::function<void(TransactionResult)> Done) override {
+    queue([this, Changes, Done] {
+      if (m_Fault == Fault::Down)
+        return Done({StoreStatus::Unavailable, {}});
+      TransactionResult Result = m_Store.transact(Changes);
+      if (m_Fault == Fault::ReplyLost)
+        Result = {StoreStatus::Unavailable, {}};
+      Done(Result);
+    });
+  }
+
+  void read(RowKey Key, std::function<void(ReadResult)> Done) override {
+    queue([this, Key, Done] {
+      Done(m_Fault == Fault::Down
+               ? ReadResult{StoreStatus::Unavailable, std::nullopt}
+               : m_Store.read(Key));
+    });
+  }
+
+  void scan(std::string Table, std::string Prefix,
+            std::function<void(ScanResult)> Done) override {
+    queue([this, Table, Prefix, Done] {
+      Done(m_Fault == Fault::Down ? ScanResult{StoreStatus::Unavailable, {}}
+                                  : m_Store.scan(Table, Prefix));
+    });
+  }
+
+  void put(std::string Name, std::string Bytes,
+           std::function<void(StoreStatus)> Done) override {
+    queue([this, Name, Bytes, Done] {
+      if (m_Fault == Fault::Down)
+        return Done(StoreStatus::Unavailable);
+      m_Store.put(Name, Bytes);
+      Done(StoreStatus::Ok);
+    });
+  }
+
+  void get(std::string Name, std::function<void(ObjectResult)> Done) override {
+    queue([this, Name, Done] {
+      Done(m_Fault == Fault::Down
+               ? ObjectResult{StoreStatus::Unavailable, std::nullopt}
+               : m_Store.get(Name));
+    });
+  }
+
+  /// Answers the calls made so far and those that the answers cause.
+  void answerAll() {
+    while (answerOne()) {
+    }
+  }
+
+  bool answerOne() {
+    if (m_Calls.empty())
+      return false;
+    auto Next = std::move(m_Calls.front());
+    m_Calls.pop_front();
+    Next();
+    return true;
+  }
+
+  std::size_t pending() const { return m_Calls.size(); }
+  std::size_t calls() const { return m_CallCount; }
+
+  Fault m_Fault = Fault::None;
+  MemoryStore m_Store;
+
+private:
+  void queue(std::function<void()> Call) {
+    ++m_CallCount;
+    m_Calls.push_back(std::move(Call));
+  }
+
+  std::deque<std::function<void()>> m_Calls;
+  std::size_t m_CallCount = 0;
+};
+
+} // namespace cyclamenwalk
+
+#endif // CYCLAMENWALK_PLATFORM_TESTS_MOCKS_PLATFORMFAKE_H
--- /dev/null
+++ b/packages/statechart/chart.h
@@ -0,0 +1,35 @@
+#ifndef CYCLAMENWALK_STATECHART_CHART_H
+#define CYCLAMENWALK_STATECHART_CHART_H
+
+#include "statechart/types/chartdata.h"
+
+#include <memory>
+#include <string>
+
+namespace cyclamenwalk {
+
+/// A state chart read from an SCXML file and checked. The supported subset is
+/// described in docs/CHARTS.md.
+class Chart {
+public:
+  /// Reads \p File; throws Error with a 11xx code when it is not valid.
+  static Chart load(const std::string &File);
+
+  /// Reads a chart from \p Text; \p Name is used in errors.
+  static Chart parse(const std::string &Text, const std::string &Name);
+
+  Chart(Chart &&) noexcept;
+  Chart &operator=(Chart &&) noexcept;
+  ~Chart();
+
+  const ChartData &data() const;
+
+private:
+  class Impl;
+  explicit Chart(std::unique_ptr<Impl> Data);
+  std::unique_ptr<Impl> m_Impl;
+};
+
+} // namespace cyclamenwalk
+
+#endif // CYCLAMENWALK_STATECHART_CHART_H
--- /dev/null
+++ b/packages/transport/internal/nngsocket.cpp
@@ -0,0 +1,82 @@
+#include "transport/internal/nngsocket.h"
+
+#include "core/error.h"
+
+#include <nng/protocol/pipeline0/pull.h>
+#include <nng/protocol/pipeline0/push.h>
+#include <utility>
+
+namespace cyclamenwalk {
+
+namespace {
+
+/// Messages that a channel holds while its connection is slow.
+constexpr int SendBufferMessages = 4096;
+constexpr int ReceiveBufferMessages = 1024;
+constexpr nng_duration RedialMinimum = 50;   // ms
+constexpr nng_duration RedialMaximum = 1000; // ms
+
+void check(int Result, const std::string &What) {
+  if (Result != 0)
+    throw Error(ResultCode::ListenFailed, What + ": " + nng_strerror(Result));
+}
+
+std::string url(const std::string &Address) { return "tcp://" + Address; }
+
+} // namespace
+
+NngSocket NngSocket::listenPull(const std::string &Address, std::size_t Limit) {
+  NngSocket Created;
+  check(nng_pull0_open(&Created.m_Socket), "pull socket");
+  nng_socket_set_size(Created.m_Socket, NNG_OPT_RECVMAXSZ, Limit);
+  nng_socket_set_int(Created.m_Socket, NNG_OPT_RECVBUF, ReceiveBufferMessages);
+  check(nng_listen(Created.m_Socket, url(Address).c_str(), nullptr, 0),
+        "listen on " + Address);
+  return Created;
+}
+
+NngSocket NngSocket::dialPush(const std::string &Address) {
+  NngSocket Created;
+  check(nng_push0_open(&Created.m_Socket), "push socket");
+  nng_socket_set_int(Created.m_Socket, NNG_OPT_SENDBUF, SendBufferMessages);
+  nng_socket_set_ms(Created.m_Socket, NNG_OPT_RECONNMINT, RedialMinimum);
+  nng_socket_set_ms(Created.m_Socket, NNG_OPT_RECONNMAXT, RedialMaximum);
+  check(nng_dial(Created.m_Socket, url(Address).c_str(), nullptr,
+                 NNG_FLAG_NONBLOCK),
+        "dial " + Address);
+  return Created;
+}
+
+NngSocket::NngSocket(NngSocket &&Other) noexcept
+    : m_Socket(
+          std::exchange(Other.m_Socket, nng_socket NNG_SOCKET_INITIALIZER)) {}
+
+NngSocket &NngSocket::operator=(NngSocket &&Other) noexcept {
+  std::swap(m_Socket, Other.m_Socket);
+  return *this;
+}
+
+NngSocket::~NngSocket() { close(); }
+
+bool NngSocket::receive(std::string &Bytes) {
+  nng_msg *Received = nullptr;
+  if (nng_recvmsg(m_Socket, &Received, 0) != 0)
+    return false;
+  Bytes.assign(static_cast<const char *>(nng_msg_body(Received)),
+               nng_msg_len(Received));
+  nng_msg_free(Received);
+  return true;
+}
+
+bool NngSocket::trySend(const std::string &Bytes) {
+  // nng only reads the buffer without NNG_FLAG_ALLOC.
+  return nng_send(m_Socket, const_cast<char *>(Bytes.data()), Bytes.size(),
+                  NNG_FLAG_NONBLOCK) == 0;
+}
+
+void NngSocket::close() {
+  if (nng_socket_id(m_Socket) > 0)
+    nng_close(m_Socket);
+}
+
+} // namespace cyclamenwalk
--- /dev/null
+++ b/packages/transport/internal/nngtransport.cpp
@@ -0,0 +1,66 @@
+#include "transport/internal/nngtransport.h"
+
+#include "core/error.h"
+#include "core/log.h"
+#include "protocol/codec.h"
+
+namespace cyclamenwalk {
+
+NngTransport::NngTransport(const TransportSettings &Settings,
+                           IControlQueue &Control, IMetrics &Metrics)
+    : m_Settings(Settings), m_Control(Control), m_Metrics(Metrics),
+      m_Sender(Settings.m_MessageLimit, Metrics),
+      m_Listener(
+          NngSocket::listenPull(Settings.m_Listen, Settings.m_MessageLimit)),
+      m_ReceiveThread([this] { receiveAll(); }) {}
+
+NngTransport::~NngTransport() { stop(); }
+
+void NngTransport::stop() {
+  m_Sender.stop();
+  m_Listener.close();
+  if (m_ReceiveThread.joinable())
+    m_ReceiveThread.join();
+}
+
+void NngTransport::onReceive(Receiver Hook) { m_Receiver = std::move(Hook); }
+
+ChannelId NngTransport::open(const std::string &Address) {
+  ChannelId Channel = ++m_LastChannel;
+  m_Sender.open(Channel, Address);
+  return Channel;
+}
+
+void NngTransport::send(ChannelId Channel, Envelope Value) {
+  m_Sender.send(Channel, std::move(Value));
+}
+
+void NngTransport::redial(ChannelId Channel) { m_Sender.redial(Channel); }
+
+void NngTransport::close(ChannelId Channel) { m_Sender.close(Channel); }
+
+void NngTransport::receiveAll() {
+  std::string Bytes;
+  while (m_Listener.receive(Bytes))
+    deliver(Bytes);
+}
+
+void NngTransport::deliver(const std::string &Bytes) {
+  try {
+    Envelope Value = decode(Bytes, m_Settings.m_MessageLimit);
+    m_Metrics.count(Metric::MessagesReceived);
+    // m_Receiver is read on the control thread, where it is set.
+    m_Control.post([this, Value = std::move(Value)]() mutable {
+      if (m_Receiver)
+        m_Receiver(std::move(Value));
+    });
+  } catch (const Error &Caught) {
+    m_Metrics.count(Metric::MessagesMalformed);
+    logEvent(LogLevel::Warning, "message.refused",
+             {{"code", static_cast<int>(Caught.code())},
+              {"bytes", Bytes.size()},
+              {"detail", Caught.what()}});
+  }
+}
+
+} // namespace cyclamenwalk
--- /dev/null
+++ b/packages/transport/internal/nngtransport.h
@@ -0,0 +1,42 @@
+#ifndef CYCLAMENWALK_TRANSPORT_INTERNAL_NNGTRANSPORT_H
+#define CYCLAMENWALK_TRANSPORT_INTERNAL_NNGTRANSPORT_H
+
+#include "transport/internal/sender.h"
+#include "transport/transportmodule.h"
+
+#include <thread>
+
+namespace cyclamenwalk {
+
+/// The transport over nng: a sender, and a thread that receives and decodes.
+class NngTransport final : public ITransport {
+public:
+  NngTransport(const TransportSettings &Settings, IControlQueue &Control,
+               IMetrics &Metrics);
+  ~NngTransport() override;
+
+  void onReceive(Receiver Hook) override;
+  ChannelId open(const std::string &Address) override;
+  void send(ChannelId Channel, Envelope Value) override;
+  void redial(ChannelId Channel) override;
+  void close(ChannelId Channel) override;
+
+  void stop();
+
+private:
+  void receiveAll();
+  void deliver(const std::string &Bytes);
+
+  const TransportSettings m_Settings;
+  IControlQueue &m_Control;
+  IMetrics &m_Metrics;
+  Receiver m_Receiver;
+  ChannelId m_LastChannel = 0;
+  Sender m_Sender;
+  NngSocket m_Listener;
+  std::thread m_ReceiveThread;
+};
+
+} // namespace cyclamenwalk
+
+#endif // CYCLAMENWALK_TRANSPORT_INTERNAL_NNGTRANSPORT_H
