--- /dev/null
+++ b/packages/policy/internal/retrybudget.cpp
@@ -0,0 +1,18 @@
+#include "policy/internal/retrybudget.h"
+
+#include <algorithm>
+
+namespace cyclamenwalk {
+
+void RetryBudget::recordStart() {
+  m_Tokens = std::min(MaxTokens, m_Tokens + TokensPerStart);
+}
+
+Duration RetryBudget::takeRetry() {
+  if (m_Tokens < 1)
+    return PauseBeyond;
+  m_Tokens -= 1;
+  return Duration::zero();
+}
+
+} // namespace cyclamenwalk
