Let the agent alone decide whether a task starts

The slot package: idle slots stand as credits divided among the entries, a freed slot goes to the entry with the most demand for the credits it holds, and a start is checked at the instant before it: the credit is known to its holder and unused, the backend server serves, the service is configured, the long share has room. A repeated start is neither run again nor called not started.

--- /dev/null
+++ b/packages/slot/internal/lifecycles.h
@@ -0,0 +1,85 @@
+#ifndef CYCLAMENWALK_SLOT_INTERNAL_LIFECYCLES_H
+#define CYCLAMENWALK_SLOT_INTERNAL_LIFECYCLES_H
+
+#include "core/itimerservice.h"
+#include "message/types/messages.h"
+#include "slot/types/execution.h"
+#include "statechart/boundchart.h"
+
+namespace cyclamenwalk {
+
+enum class BackendPhase { Absent, Serving, Leaving };
+enum class BackendEvent { Announced, Leave, Lapsed };
+
+template <> struct ChartNames<BackendPhase> {
+  static constexpr std::array<std::string_view, 3> Values{"absent", "serving",
+                                                          "leaving"};
+};
+template <> struct ChartNames<BackendEvent> {
+  static constexpr std::array<std::string_view, 3> Values{"announced", "leave",
+                                                          "lapsed"};
+};
+
+/// The backend server beside this agent.
+struct Backend {
+  BackendPhase m_State = BackendPhase::Absent;
+  BackendOffer m_Offer;
+  /// What it announces now, before the chart has decided on it.
+  BackendOffer m_Announced;
+  TimerId m_Lease = 0;
+};
+
+enum class CreditState { Issued, Used, Withdrawn };
+enum class CreditEvent { Start, Withdraw };
+
+template <> struct ChartNames<CreditState> {
+  static constexpr std::array<std::string_view, 3> Values{"issued", "used",
+                                                          "withdrawn"};
+};
+template <> struct ChartNames<CreditEvent> {
+  static constexpr std::array<std::string_view, 2> Values{"start", "withdraw"};
+};
+
+/// A credit that an entry holds.
+struct IssuedCredit {
+  CreditState m_State = CreditState::Issued;
+  CreditId m_Id;
+  Incarnation m_Entry;
+  bool m_AllowsLong = true;
+  TimePoint m_IssuedAt;
+  /// The start that is being decided on.
+  Start *m_Start = nullptr;
+};
+
+enum class ExecutionState { Running, Stopping, Ended };
+enum class ExecutionEvent { Overrun, Stop, Done, Lost };
+
+template <> struct ChartNames<ExecutionState> {
+  static constexpr std::array<std::string_view, 3> Values{"running", "stopping",
+                                                          "ended"};
+};
+template <> struct ChartNames<ExecutionEvent> {
+  static constexpr std::array<std::string_view, 4> Values{"overrun", "stop",
+                                                          "done", "lost"};
+};
+
+/// A task on a slot.
+struct Execution {
+  ExecutionState m_State = ExecutionState::Running;
+  TaskId m_Task;
+  Incarnation m_Entry;
+  std::string m_Address;
+  bool m_IsLong = false;
+  TimePoint m_StartedAt;
+  TimerId m_OverrunTimer = 0;
+  TimerId m_LostTimer = 0;
+  ExecutionResult m_Result;
+};
+
+using BackendChart = BoundChart<Backend, BackendPhase, BackendEvent>;
+using CreditChart = BoundChart<IssuedCredit, CreditState, CreditEvent>;
+using ExecutionChart = BoundChart<Execution, ExecutionState, ExecutionEvent>;
+
+} // namespace cyclamenwalk
+
+#endif // CYCLAMENWALK_SLOT_INTERNAL_LIFECYCLES_H
--- /dev/null
+++ b/packages/slot/tests/slotservice_test.cpp
@@ -0,0 +1,297 @@
+#include "core/tests/mocks/manualtimerservice.h"
+#include "core/tests/mocks/metricsmock.h"
+#include "membership/tests/mocks/linksmock.h"
+#include "slot/internal/slotservice.h"
+#include "slot/tests/mocks/executormock.h"
+#include "statechart/chartfolder.h"
+
+#include <gtest/gtest.h>
+#include <map>
+
+using namespace cyclamenwalk;
+using testing::_;
+
+namespace {
+
+const Incarnation EntryA{101};
+const Incarnation EntryB{102};
+
+class SlotServiceTest : public testing::Test {
+protected:
+  SlotServiceTest() {
+    ON_CALL(m_Links, send(_, _))
+        .WillByDefault([this](Incarnation To, Message Body) {
+          if (auto *Grant = std::get_if<CreditGrant>(&Body))
+            addCredits(To, Grant->m_Credits);
+          else if (auto *Done = std::get_if<TaskDone>(&Body))
+            addCredits(To, Done->m_Credits), m_Done.push_back(*Done);
+          else if (auto *Taken = std::get_if<CreditWithdraw>(&Body))
+            m_Withdrawn[To] += Taken->m_Credits.size();
+          else if (auto *No = std::get_if<StartRefused>(&Body))
+            m_Refused.push_back(*No);
+          else if (auto *State = std::get_if<BackendState>(&Body))
+            m_State = *State;
+        });
+  }
+
+  void addCredits(Incarnation To, const std::vector<Credit> &Granted) {
+    auto &Known = m_Granted[To];
+    Known.insert(Known.end(), Granted.begin(), Granted.end());
+  }
+
+  void serve(std::uint32_t Slots = 8, const std::string &Run = "r1") {
+    BackendOffer Offer;
+    Offer.m_Service = "gatepost";
+    Offer.m_Address = "127.0.0.1:9";
+    Offer.m_Run = Run;
+    Offer.m_Slots = Slots;
+    m_Slots.announce(Offer);
+  }
+
+  void link(Incarnation Entry) {
+    Peer Known;
+    Known.m_Incarnation = Entry;
+    m_Slots.entryUp(Known);
+  }
+
+  void unlink(Incarnation Entry) {
+    Peer Known;
+    Known.m_Incarnation = Entry;
+    m_Slots.entryDown(Known);
+  }
+
+  TaskId start(Incarnation Entry, CreditId Id, bool IsLong = false,
+               std::uint32_t Waiting = 0) {
+    Start Body;
+    Body.m_Task = TaskId{JobId{Entry, 1}, m_NextIndex++};
+    Body.m_Credit = Id;
+    Body.m_Service = "gatepost";
+    Body.m_Remaining = seconds(10);
+    Body.m_IsLong = IsLong;
+    Body.m_Waiting = Waiting;
+    Message Sent = Body;
+    m_LastStart = Body;
+    m_Slots.receive(Entry, Sent);
+    return Body.m_Task;
+  }
+
+  ChartFolder m_Charts{CW_CHART_DIR};
+  ManualTimerService m_Timers;
+  MetricsFake m_Metrics;
+  testing::NiceMock<LinksMock> m_Links;
+  ExecutorFake m_Executor;
+  SlotService m_Slots{SlotSettings{}, chooseByDemand, m_Charts, m_Links,
+                      m_Executor,     m_Timers,       m_Metrics};
+  std::map<Incarnation, std::vector<Credit>> m_Granted;
+  std::map<Incarnation, std::size_t> m_Withdrawn;
+  std::vector<StartRefused> m_Refused;
+  std::vector<TaskDone> m_Done;
+  BackendState m_State;
+  Start m_LastStart;
+  std::uint32_t m_NextIndex = 0;
+};
+
+} // namespace
+
+TEST_F(SlotServiceTest, idleSlotsStandAsCreditsDividedAmongEntries) {
+  link(EntryA);
+  link(EntryB);
+  serve(8);
+  EXPECT_EQ(m_Granted[EntryA].size(), 4u);
+  EXPECT_EQ(m_Granted[EntryB].size(), 4u);
+  EXPECT_EQ(m_State.m_Slots, 8u);
+}
+
+TEST_F(SlotServiceTest, lateEntryGetsItsPart) {
+  link(EntryA);
+  serve(8);
+  EXPECT_EQ(m_Granted[EntryA].size(), 8u);
+  link(EntryB);
+  EXPECT_EQ(m_Withdrawn[EntryA], 4u);
+  EXPECT_EQ(m_Granted[EntryB].size(), 4u);
+}
+
+TEST_F(SlotServiceTest, creditStartsOneTaskAndAResultBringsTheNext) {
+  link(EntryA);
+  serve(1);
+  CreditId First = m_Granted[EntryA][0].m_Id;
+  TaskId Task = start(EntryA, First);
+  EXPECT_EQ(m_Executor.m_Starts[Task], 1);
+  EXPECT_EQ(m_Slots.creditsOut(), 0u);
+  m_Executor.finish(Task);
+  ASSERT_EQ(m_Done.size(), 1u);
+  EXPECT_EQ(m_Done[0].m_Answer, "answer");
+  EXPECT_EQ(m_Done[0].m_Credits.size(), 1u);
+}
+
+TEST_F(SlotServiceTest, creditIsGoodForOneTaskOfItsHolderOnly) {
+  link(EntryA);
+  link(EntryB);
+  serve(2);
+  CreditId OfA = m_Granted[EntryA][0].m_Id;
+  start(EntryB, OfA);
+  ASSERT_EQ(m_Refused.size(), 1u);
+  EXPECT_EQ(m_Refused[0].m_Code, ResultCode::CreditUnknown);
+  start(EntryA, OfA);
+  start(EntryA, OfA);
+  EXPECT_EQ(m_Refused.size(), 2u);
+  EXPECT_EQ(m_Executor.m_Starts.size(), 1u);
+}
+
+TEST_F(SlotServiceTest, repeatedStartIsNeitherRunAgainNorCalledNotStarted) {
+  link(EntryA);
+  serve(1);
+  TaskId Task = start(EntryA, m_Granted[EntryA][0].m_Id);
+  Message Again = m_LastStart;
+  m_Slots.receive(EntryA, Again);
+  m_Executor.finish(Task);
+  Message Late = m_LastStart;
+  m_Slots.receive(EntryA, Late);
+  EXPECT_EQ(m_Executor.m_Starts[Task], 1);
+  EXPECT_TRUE(m_Refused.empty());
+}
+
+TEST_F(SlotServiceTest, leavingWithdrawsAllAndRefusesWhatWasSent) {
+  link(EntryA);
+  serve(4);
+  TaskId Running = start(EntryA, m_Granted[EntryA][0].m_Id);
+  m_Slots.leave();
+  EXPECT_EQ(m_Withdrawn[EntryA], 3u);
+  EXPECT_TRUE(m_State.m_IsLeaving);
+  start(EntryA, m_Granted[EntryA][1].m_Id);
+  EXPECT_EQ(m_Refused.size(), 1u);
+  m_Executor.finish(Running);
+  EXPECT_EQ(m_Done.size(), 1u);
+  EXPECT_TRUE(m_Done[0].m_Credits.empty());
+}
+
+TEST_F(SlotServiceTest, backendThatStopsAnnouncingItselfGetsNoMoreWork) {
+  link(EntryA);
+  serve(4);
+  m_Timers.advance(seconds(4));
+  serve(4);
+  m_Timers.advance(seconds(4));
+  EXPECT_TRUE(m_Slots.isServing());
+  m_Timers.advance(seconds(2));
+  EXPECT_FALSE(m_Slots.isServing());
+  EXPECT_EQ(m_Slots.creditsOut(), 0u);
+}
+
+TEST_F(SlotServiceTest, replacedBackendLosesWhatRan) {
+  link(EntryA);
+  serve(1);
+  start(EntryA, m_Granted[EntryA][0].m_Id);
+  serve(1, "r2");
+  ASSERT_EQ(m_Done.size(), 1u);
+  EXPECT_EQ(m_Done[0].m_Code, ResultCode::BackendLost);
+  EXPECT_EQ(m_Slots.creditsOut(), 1u);
+}
+
+TEST_F(SlotServiceTest, lapsedEntryCannotUseItsCreditsAfterAPause) {
+  link(EntryA);
+  link(EntryB);
+  serve(2);
+  CreditId OfA = m_Granted[EntryA][0].m_Id;
+  unlink(EntryA);
+  EXPECT_EQ(m_Granted[EntryB].size(), 2u);
+  start(EntryA, OfA);
+  EXPECT_EQ(m_Executor.m_Starts.size(), 0u);
+  link(EntryA);
+  start(EntryA, OfA);
+  EXPECT_EQ(m_Executor.m_Starts.size(), 0u);
+}
+
+TEST_F(SlotServiceTest, freedSlotGoesToTheEntryWithDemand) {
+  link(EntryA);
+  link(EntryB);
+  serve(2);
+  TaskId OfA = start(EntryA, m_Granted[EntryA][0].m_Id);
+  start(EntryB, m_Granted[EntryB][0].m_Id, false, 5);
+  m_Granted.clear();
+  m_Executor.finish(OfA);
+  EXPECT_TRUE(m_Done[0].m_Credits.empty());
+  EXPECT_EQ(m_Granted[EntryB].size(), 1u);
+}
+
+TEST_F(SlotServiceTest, demandTakesIdleCreditsBackFromOthersButNotAtOnce) {
+  link(EntryA);
+  link(EntryB);
+  serve(8);
+  m_Granted.clear();
+  Message Wants = Demand{10};
+  m_Slots.receive(EntryB, Wants);
+  EXPECT_EQ(m_Withdrawn[EntryA], 0u);
+  m_Timers.advance(milliseconds(20));
+  m_Slots.receive(EntryB, Wants);
+  EXPECT_EQ(m_Withdrawn[EntryA], 2u);
+  EXPECT_EQ(m_Granted[EntryB].size(), 2u);
+}
+
+TEST_F(SlotServiceTest, longTasksHoldOnlyTheirShare) {
+  link(EntryA);
+  serve(4);
+  std::vector<Credit> Credits = m_Granted[EntryA];
+  EXPECT_EQ(std::count_if(Credits.begin(), Credits.end(),
+                          [](const Credit &C) { return C.m_AllowsLong; }),
+            2);
+  start(EntryA, Credits[0].m_Id, true);
+  start(EntryA, Credits[1].m_Id, true);
+  start(EntryA, Credits[2].m_Id, true);
+  ASSERT_EQ(m_Refused.size(), 1u);
+  EXPECT_EQ(m_Refused[0].m_Code, ResultCode::LongShareFull);
+}
+
+TEST_F(SlotServiceTest, taskThatOverrunsCountsAgainstTheLongShare) {
+  link(EntryA);
+  serve(4);
+  std::vector<Credit> Credits = m_Granted[EntryA];
+  start(EntryA, Credits[2].m_Id);
+  start(EntryA, Credits[3].m_Id);
+  for (int I = 0; I < 3; ++I) {
+    m_Timers.advance(seconds(1));
+    serve(4);
+  }
+  start(EntryA, Credits[0].m_Id, true);
+  EXPECT_EQ(m_Refused.size(), 1u);
+}
+
+TEST_F(SlotServiceTest, stopReachesRunningTasksOfTheJobOnly) {
+  link(EntryA);
+  serve(4);
+  TaskId Task = start(EntryA, m_Granted[EntryA][0].m_Id);
+  Message Other = StopJob{JobId{EntryA, 99}};
+  m_Slots.receive(EntryA, Other);
+  EXPECT_TRUE(m_Executor.m_Stopped.empty());
+  Message Stop = StopJob{JobId{EntryA, 1}};
+  m_Slots.receive(EntryA, Stop);
+  m_Slots.receive(EntryA, Stop);
+  EXPECT_EQ(m_Executor.m_Stopped, std::vector<TaskId>{Task});
+}
+
+TEST_F(SlotServiceTest, silentBackendIsReportedUnknownAfterTheDeadline) {
+  link(EntryA);
+  serve(1);
+  TaskId Task = start(EntryA, m_Granted[EntryA][0].m_Id);
+  for (int I = 0; I < 12; ++I) {
+    m_Timers.advance(seconds(1));
+    serve(1);
+  }
+  ASSERT_EQ(m_Done.size(), 1u);
+  EXPECT_EQ(m_Done[0].m_Code, ResultCode::BackendLost);
+  // The answer that comes after all is late and changes nothing.
+  m_Executor.finish(Task);
+  EXPECT_EQ(m_Done.size(), 1u);
+}
+
+TEST_F(SlotServiceTest, fewerConfiguredSlotsWithdrawCredits) {
+  link(EntryA);
+  serve(8);
+  SlotLimits Limits;
+  Limits.m_Slots = 3;
+  m_Slots.setLimits(Limits);
+  EXPECT_EQ(m_Slots.creditsOut(), 3u);
+  Limits.m_IsServiceKnown = false;
+  m_Slots.setLimits(Limits);
+  start(EntryA, m_Granted[EntryA][0].m_Id);
+  EXPECT_EQ(m_Refused.at(0).m_Code, ResultCode::WithdrawnConfiguration);
+}
