Own jobs from admission to their one whole answer

The job package: charts for job and task, a dispatcher for each service that matches waiting tasks with credits and states demand, the table of jobs with bounded memory for answers, the table of agents.

A property test walks through random faults and checks the promises. It found a job answered as succeeded with empty answers. Cause: the action that places a refused task again dispatched at once, so the task was sent anew inside its own transition, and the job took the state "sent" for the end of the task. Ruled out: a wrong answer from the agent (its log showed the refusal), a late result (none was counted). The action now only queues, the caller dispatches, and states that are no end of a task map to no event.

--- /dev/null
+++ b/packages/job/internal/jobservice.h
@@ -0,0 +1,80 @@
+#ifndef CYCLAMENWALK_JOB_INTERNAL_JOBSERVICE_H
+#define CYCLAMENWALK_JOB_INTERNAL_JOBSERVICE_H
+
+#include "job/internal/agenttable.h"
+#include "job/internal/dispatcher.h"
+#include "job/internal/jobtable.h"
+
+#include <map>
+
+namespace cyclamenwalk {
+
+class JobService final : public IJobService {
+public:
+  JobService(Incarnation Own, JobSettings Settings, PolicyHooks Hooks,
+             EntryShareSource Share, JobDependencies Needs);
+  ~JobService() override;
+
+  JobId submit(JobSpec Spec, JobDone Done) override;
+  bool wait(JobId Id, JobDone Done) override;
+  bool cancel(JobId Id) override;
+  void agentUp(const Peer &Agent) override;
+  void agentDown(const Peer &Agent) override;
+  void receive(Incarnation Agent, Message &Body) override;
+  void reconfigure() override;
+  SiteStatus status() const override;
+  std::size_t running() const override;
+
+private:
+  TaskChart bindTask(const IChartSource &Charts);
+  JobChart bindJob(const IChartSource &Charts);
+
+  ResultCode check(const JobSpec &Spec) const;
+  Duration deadlineOf(const JobSpec &Spec) const;
+  ResultCode admit(const JobSpec &Spec, Duration Deadline);
+  Duration expectedTaskTime(const JobSpec &Spec) const;
+  void start(Job &Added, JobSpec Spec, Duration Deadline);
+
+  void place(JobId Id);
+  void sendStart(Job &Owner, std::uint32_t Index, const AgentCredit &Spent);
+  void placeAgain(Task &Refused);
+  void putBack(JobId Id, std::uint32_t Index, const std::string &Service,
+               const std::string &Team);
+
+  void receiveState(LinkedAgent &From, const BackendState &State);
+  void receiveDone(LinkedAgent &From, TaskDone &Done);
+  void receiveRefusal(LinkedAgent &From, const StartRefused &Refusal);
+  Task *takeLanded(LinkedAgent &From, TaskId Id);
+  void learn(const LinkedAgent &From, Job &Owner, const TaskDone &Done);
+  void fireTask(Task &Changed, TaskEvent What);
+  void fireJob(Job &Changed, JobEvent What);
+
+  void stopRest(Job &Failed);
+  void answer(Job &Ended);
+  void releaseQuota(const std::string &Service, const std::string &Team);
+  Dispatcher &dispatcher(const std::string &Service);
+  void shareOut(const std::string &Service, Dispatcher &Known);
+
+  const Incarnation m_Own;
+  const JobSettings m_Settings;
+  const PolicyHooks m_Hooks;
+  const EntryShareSource m_Share;
+  ILinks &m_Links;
+  IConfigurationStore &m_Configuration;
+  ITimerService &m_Timers;
+  IMetrics &m_Metrics;
+  const TaskChart m_TaskChart;
+  const JobChart m_JobChart;
+  std::unique_ptr<IRunTimes> m_RunTimes;
+  std::unique_ptr<IWorkerHealth> m_Health;
+  std::unique_ptr<IRetryBudget> m_Budget;
+  JobTable m_Jobs;
+  AgentTable m_Agents;
+  std::map<std::string, std::unique_ptr<Dispatcher>> m_Dispatchers;
+  std::uint64_t m_LastSequence = 0;
+  std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
+};
+
+} // namespace cyclamenwalk
+
+#endif // CYCLAMENWALK_JOB_INTERNAL_JOBSERVICE_H
--- /dev/null
+++ b/packages/job/internal/jobtable.h
@@ -0,0 +1,39 @@
+#ifndef CYCLAMENWALK_JOB_INTERNAL_JOBTABLE_H
+#define CYCLAMENWALK_JOB_INTERNAL_JOBTABLE_H
+
+#include "job/internal/job.h"
+
+#include <deque>
+#include <memory>
+#include <unordered_map>
+
+namespace cyclamenwalk {
+
+/// The jobs of this entry by id. Ended jobs stay until their lifetime is over
+/// or their answers need too much memory.
+class JobTable {
+public:
+  explicit JobTable(std::size_t MaxAnswerBytes)
+      : m_MaxAnswerBytes(MaxAnswerBytes) {}
+
+  Job &add(JobId Id);
+  Job *find(JobId Id);
+  void erase(JobId Id);
+
+  /// Notes that a job has ended, and returns those that have to make room.
+  std::vector<JobId> noteEnded(const Job &Ended);
+
+  /// Jobs that have not ended.
+  std::size_t running() const { return m_Jobs.size() - m_Ended.size(); }
+
+private:
+  const std::size_t m_MaxAnswerBytes;
+  std::unordered_map<JobId, std::unique_ptr<Job>> m_Jobs;
+  /// In the order in which they ended.
+  std::deque<JobId> m_Ended;
+  std::size_t m_AnswerBytes = 0;
+};
+
+} // namespace cyclamenwalk
+
+#endif // CYCLAMENWALK_JOB_INTERNAL_JOBTABLE_H
--- a/packages/policy/internal/creditledger.cpp
+++ b/packages/policy/internal/creditledger.cpp
@@ -62,7 +62,7 @@
   auto &Ready = m_Ready[static_cast<std::size_t>(Which)];
   if (Ready.empty())
     return std::nullopt;
-  Incarnation Id = Ready.begin()->second;
+  Incarnation Id = std::get<Incarnation>(*Ready.begin());
   Agent &Known = m_Agents.at(Id);
   unlist(Id, Known);
   auto &Credits = Known.m_Credits[static_cast<std::size_t>(Which)];
@@ -70,6 +70,7 @@
   AgentCredit Taken{Id, Credits.front()};
   Credits.pop_front();
   --m_Held;
+  Known.m_Turn = ++m_LastTurn;
   ++Known.m_InFlight;
   ++m_InFlight;
   list(Id, Known);
@@ -92,7 +93,7 @@
 
 void CreditLedger::unlist(Incarnation Id, const Agent &Known) {
   for (auto &Ready : m_Ready)
-    Ready.erase(Ranked(Known.m_Score, Id));
+    Ready.erase(Ranked(Known.m_Score, Known.m_Turn, Id));
 }
 
 void CreditLedger::list(Incarnation Id, Agent &Known) {
@@ -101,7 +102,7 @@
   Known.m_Score = m_Score({Id, Known.m_InFlight});
   for (std::size_t Which = 0; Which < KindCount; ++Which)
     if (!Known.m_Credits[Which].empty())
-      m_Ready[Which].emplace(Known.m_Score, Id);
+      m_Ready[Which].emplace(Known.m_Score, Known.m_Turn, Id);
 }
 
 } // namespace cyclamenwalk
--- a/packages/policy/internal/creditledger.h
+++ b/packages/policy/internal/creditledger.h
@@ -6,8 +6,8 @@
 
 #include <deque>
 #include <set>
+#include <tuple>
 #include <unordered_map>
-#include <utility>
 
 namespace cyclamenwalk {
 
@@ -38,8 +38,10 @@
     std::uint32_t m_InFlight = 0;
     std::uint32_t m_Limit = IWorkerHealth::NoLimit;
     double m_Score = 0;
+    /// When it was last chosen, so that equal scores take turns.
+    std::uint64_t m_Turn = 0;
   };
-  using Ranked = std::pair<double, Incarnation>;
+  using Ranked = std::tuple<double, std::uint64_t, Incarnation>;
 
   void unlist(Incarnation Id, const Agent &Known);
   void list(Incarnation Id, Agent &Known);
@@ -47,6 +49,7 @@
   const WorkerScore m_Score;
   std::unordered_map<Incarnation, Agent> m_Agents;
   std::set<Ranked> m_Ready[KindCount];
+  std::uint64_t m_LastTurn = 0;
   std::uint32_t m_Held = 0;
   std::uint32_t m_InFlight = 0;
 };
--- a/packages/slot/internal/slotservice.cpp
+++ b/packages/slot/internal/slotservice.cpp
@@ -96,6 +96,8 @@
 }
 
 void SlotService::open() {
+  // The new run may be of another service.
+  m_Credits.withdrawAll();
   m_Backend.m_Offer = m_Backend.m_Announced;
   logEvent(LogLevel::Info, "backend.serving",
            {{"service", m_Backend.m_Offer.m_Service},
