--- /dev/null
+++ b/packages/settings/desiredstatereader.h
@@ -0,0 +1,16 @@
+#ifndef CYCLAMENWALK_SETTINGS_DESIREDSTATEREADER_H
+#define CYCLAMENWALK_SETTINGS_DESIREDSTATEREADER_H
+
+#include "configuration/types/desiredstate.h"
+
+#include <string>
+
+namespace cyclamenwalk {
+
+/// Reads a configuration; throws SettingsError with all problems. \p File is
+/// used in them.
+DesiredState readDesiredState(const std::string &Text, const std::string &File);
+
+} // namespace cyclamenwalk
+
+#endif // CYCLAMENWALK_SETTINGS_DESIREDSTATEREADER_H
--- /dev/null
+++ b/packages/settings/internal/inireader.cpp
@@ -0,0 +1,314 @@
+#include "settings/inireader.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <charconv>
+#include <limits>
+#include <optional>
+
+namespace cyclamenwalk {
+
+namespace {
+
+constexpr std::size_t MaxNameLength = 63;
+constexpr std::uint32_t MaxPort = 65535;
+constexpr std::uint32_t MaxPercent = 100;
+
+/// A whole number and what follows it.
+struct NumberAndUnit {
+  std::uint64_t m_Number = 0;
+  std::string m_Unit;
+};
+
+std::string trim(const std::string &Text) {
+  auto First = Text.find_first_not_of(" \t");
+  if (First == std::string::npos)
+    return {};
+  auto Last = Text.find_last_not_of(" \t");
+  return Text.substr(First, Last - First + 1);
+}
+
+std::optional<NumberAndUnit> splitNumber(const std::string &Text) {
+  NumberAndUnit Parts;
+  const char *End = Text.data() + Text.size();
+  auto Read = std::from_chars(Text.data(), End, Parts.m_Number);
+  if (Read.ec != std::errc())
+    return std::nullopt;
+  Parts.m_Unit = trim(std::string(Read.ptr, End));
+  return Parts;
+}
+
+std::optional<std::uint64_t>
+scale(const NumberAndUnit &Parts,
+      const std::map<std::string, std::uint64_t> &Units) {
+  auto Found = Units.find(Parts.m_Unit);
+  if (Found == Units.end())
+    return std::nullopt;
+  constexpr auto Highest = std::numeric_limits<std::int64_t>::max();
+  if (Parts.m_Number > Highest / Found->second)
+    return std::nullopt;
+  return Parts.m_Number * Found->second;
+}
+
+std::optional<Duration> toDuration(const std::string &Text) {
+  static const std::map<std::string, std::uint64_t> Nanoseconds = {
+      {"us", 1000ULL},
+      {"ms", 1000ULL * 1000},
+      {"s", 1000ULL * 1000 * 1000},
+      {"min", 60ULL * 1000 * 1000 * 1000}};
+  auto Parts = splitNumber(Text);
+  auto Scaled = Parts ? scale(*Parts, Nanoseconds) : std::nullopt;
+  if (!Scaled)
+    return std::nullopt;
+  return Duration(static_cast<std::int64_t>(*Scaled));
+}
+
+std::optional<std::uint64_t> toSize(const std::string &Text) {
+  static const std::map<std::string, std::uint64_t> Bytes = {
+      {"B", 1},
+      {"KB", 1024ULL},
+      {"MB", 1024ULL * 1024},
+      {"GB", 1024ULL * 1024 * 1024}};
+  auto Parts = splitNumber(Text);
+  return Parts ? scale(*Parts, Bytes) : std::nullopt;
+}
+
+} // namespace
+
+bool isName(const std::string &Text) {
+  auto IsAllowed = [](unsigned char Letter) {
+    return std::isalnum(Letter) || Letter == '-' || Letter == '.';
+  };
+  return !Text.empty() && Text.size() <= MaxNameLength &&
+         std::all_of(Text.begin(), Text.end(), IsAllowed);
+}
+
+bool isAddress(const std::string &Text) {
+  auto Colon = Text.rfind(':');
+  if (Colon == std::string::npos)
+    return false;
+  in_addr Parsed;
+  bool IsHost = inet_pton(AF_INET, Text.substr(0, Colon).c_str(), &Parsed) == 1;
+  auto Port = splitNumber(Text.substr(Colon + 1));
+  return IsHost && Port && Port->m_Unit.empty() && Port->m_Number > 0 &&
+         Port->m_Number <= MaxPort;
+}
+
+class IniReader::Impl {
+public:
+  explicit Impl(IniDocument Document)
+      : m_Document(std::move(Document)), m_Problems(m_Document.m_Problems) {}
+
+  const IniValue *find(const std::string &Section, const std::string &Key) {
+    m_Known[Section].insert(Key);
+    auto Found = m_Document.m_Sections.find(Section);
+    if (Found == m_Document.m_Sections.end())
+      return nullptr;
+    auto Value = Found->second.m_Values.find(Key);
+    return Value == Found->second.m_Values.end() ? nullptr : &Value->second;
+  }
+
+  void addProblem(int Line, ResultCode Code, const std::string &Detail) {
+    m_Problems.push_back({m_Document.m_File, Line, Code, Detail});
+  }
+
+  void addBadValue(const std::string &Key, const IniValue &Value,
+                   ResultCode Code, const std::string &Wanted) {
+    addProblem(Value.m_Line, Code,
+               Key + " = " + Value.m_Text + ": " + Wanted + " expected");
+  }
+
+  int lineOf(const std::string &Section) const {
+    auto Found = m_Document.m_Sections.find(Section);
+    return Found == m_Document.m_Sections.end() ? 0 : Found->second.m_Line;
+  }
+
+  void addUnknown() {
+    for (const auto &Section : m_Document.m_Sections) {
+      auto Known = m_Known.find(Section.first);
+      if (Known == m_Known.end()) {
+        addProblem(Section.second.m_Line, ResultCode::UnknownSection,
+                   "section [" + Section.first + "] is not known");
+        continue;
+      }
+      for (const auto &Value : Section.second.m_Values)
+        if (!Known->second.count(Value.first))
+          addProblem(Value.second.m_Line, ResultCode::UnknownKey,
+                     "key " + Value.first + " is not known in [" +
+                         Section.first + "]");
+    }
+  }
+
+  IniDocument m_Document;
+  std::map<std::string, std::set<std::string>> m_Known;
+  std::vector<Problem> m_Problems;
+};
+
+IniReader::IniReader(IniDocument Document)
+    : m_Impl(std::make_unique<Impl>(std::move(Document))) {}
+IniReader::~IniReader() = default;
+
+std::vector<std::string> IniReader::namedSections(const std::string &Kind) {
+  std::vector<std::string> Names;
+  std::string Prefix = Kind + " ";
+  for (const auto &Section : m_Impl->m_Document.m_Sections) {
+    if (Section.first.rfind(Prefix, 0) != 0)
+      continue;
+    std::string Name = trim(Section.first.substr(Prefix.size()));
+    if (!isName(Name))
+      m_Impl->addProblem(Section.second.m_Line, ResultCode::BadName,
+                         "section [" + Section.first + "]: bad name");
+    m_Impl->m_Known[Section.first];
+    Names.push_back(Name);
+  }
+  return Names;
+}
+
+std::string IniReader::text(const std::string &Section, const std::string &Key,
+                            const std::string &Default) {
+  const IniValue *Value = m_Impl->find(Section, Key);
+  return Value ? Value->m_Text : Default;
+}
+
+std::string IniReader::requiredText(const std::string &Section,
+                                    const std::string &Key) {
+  const IniValue *Value = m_Impl->find(Section, Key);
+  if (Value)
+    return Value->m_Text;
+  m_Impl->addProblem(m_Impl->lineOf(Section), ResultCode::MissingKey,
+                     "key " + Key + " is missing in [" + Section + "]");
+  return {};
+}
+
+std::string IniReader::requiredName(const std::string &Section,
+                                    const std::string &Key) {
+  std::string Text = requiredText(Section, Key);
+  if (!Text.empty() && !isName(Text))
+    addProblem(Section, Key, ResultCode::BadName, "not a name: " + Text);
+  return Text;
+}
+
+std::string IniReader::address(const std::string &Section,
+                               const std::string &Key, bool IsRequired) {
+  std::string Text =
+      IsRequired ? requiredText(Section, Key) : text(Section, Key, "");
+  if (!Text.empty() && !isAddress(Text))
+    addProblem(Section, Key, ResultCode::BadAddress, "not IP:PORT: " + Text);
+  return Text;
+}
+
+std::vector<std::string> IniReader::list(const std::string &Section,
+                                         const std::string &Key) {
+  std::vector<std::string> Items;
+  std::string Rest = text(Section, Key, "");
+  while (!Rest.empty()) {
+    auto Comma = Rest.find(',');
+    std::string Item = trim(Rest.substr(0, Comma));
+    if (!Item.empty())
+      Items.push_back(Item);
+    Rest = Comma == std::string::npos ? "" : Rest.substr(Comma + 1);
+  }
+  return Items;
+}
+
+std::vector<std::string> IniReader::addresses(const std::string &Section,
+                                              const std::string &Key) {
+  std::vector<std::string> Items = list(Section, Key);
+  for (const std::string &Item : Items)
+    if (!isAddress(Item))
+      addProblem(Section, Key, ResultCode::BadAddress, "not IP:PORT: " + Item);
+  return Items;
+}
+
+std::uint32_t IniReader::number(const std::string &Section,
+                                const std::string &Key, std::uint32_t Default,
+                                std::uint32_t Lowest, std::uint32_t Highest) {
+  const IniValue *Value = m_Impl->find(Section, Key);
+  if (!Value)
+    return Default;
+  auto Parts = splitNumber(Value->m_Text);
+  bool IsGood = Parts && Parts->m_Unit.empty() && Parts->m_Number >= Lowest &&
+                Parts->m_Number <= Highest;
+  if (IsGood)
+    return static_cast<std::uint32_t>(Parts->m_Number);
+  m_Impl->addBadValue(Key, *Value, ResultCode::BadNumber,
+                      "a number from " + std::to_string(Lowest) + " to " +
+                          std::to_string(Highest));
+  return Default;
+}
+
+std::uint32_t IniReader::percent(const std::string &Section,
+                                 const std::string &Key,
+                                 std::uint32_t Default) {
+  const IniValue *Value = m_Impl->find(Section, Key);
+  if (!Value)
+    return Default;
+  auto Parts = splitNumber(Value->m_Text);
+  if (Parts && Parts->m_Unit == "%" && Parts->m_Number <= MaxPercent)
+    return static_cast<std::uint32_t>(Parts->m_Number);
+  m_Impl->addBadValue(Key, *Value, ResultCode::BadNumber,
+                      "a percentage such as 50%");
+  return Default;
+}
+
+Duration IniReader::duration(const std::string &Section, const std::string &Key,
+                             Duration Default) {
+  const IniValue *Value = m_Impl->find(Section, Key);
+  if (!Value)
+    return Default;
+  auto Parsed = toDuration(Value->m_Text);
+  if (Parsed && *Parsed > Duration::zero())
+    return *Parsed;
+  m_Impl->addBadValue(Key, *Value, ResultCode::BadDuration,
+                      "a duration such as 500ms, 2s or 5min");
+  return Default;
+}
+
+std::uint64_t IniReader::size(const std::string &Section,
+                              const std::string &Key, std::uint64_t Default) {
+  const IniValue *Value = m_Impl->find(Section, Key);
+  if (!Value)
+    return Default;
+  auto Parsed = toSize(Value->m_Text);
+  if (Parsed && *Parsed > 0)
+    return *Parsed;
+  m_Impl->addBadValue(Key, *Value, ResultCode::BadSize,
+                      "a size such as 512KB or 4MB");
+  return Default;
+}
+
+std::string IniReader::choice(const std::string &Section,
+                              const std::string &Key,
+                              const std::string &Default,
+                              const std::set<std::string> &Allowed) {
+  std::string Text = text(Section, Key, Default);
+  if (Allowed.count(Text))
+    return Text;
+  std::string All;
+  for (const std::string &Name : Allowed)
+    All += " " + Name;
+  addProblem(Section, Key, ResultCode::BadName,
+             Key + " = " + Text + ": one of" + All + " expected");
+  return Default;
+}
+
+void IniReader::addProblem(const std::string &Section, const std::string &Key,
+                           ResultCode Code, const std::string &Detail) {
+  const IniValue *Value = m_Impl->find(Section, Key);
+  m_Impl->addProblem(Value ? Value->m_Line : m_Impl->lineOf(Section), Code,
+                     Detail);
+}
+
+void IniReader::finish() {
+  m_Impl->addUnknown();
+  auto &Problems = m_Impl->m_Problems;
+  if (Problems.empty())
+    return;
+  std::stable_sort(Problems.begin(), Problems.end(),
+                   [](const Problem &Left, const Problem &Right) {
+                     return Left.m_Line < Right.m_Line;
+                   });
+  throw SettingsError(Problems);
+}
+
+} // namespace cyclamenwalk
--- /dev/null
+++ b/packages/settings/tests/settings_test.cpp
@@ -0,0 +1,135 @@
+#include "settings/desiredstatereader.h"
+#include "settings/inireader.h"
+#include "settings/processsettings.h"
+
+#include <cstdio>
+#include <fstream>
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+using namespace cyclamenwalk;
+
+namespace {
+
+/// Line and code of each problem in a configuration.
+std::vector<std::pair<int, ResultCode>> problemsOf(const std::string &Text) {
+  std::vector<std::pair<int, ResultCode>> Found;
+  try {
+    readDesiredState(Text, "test.ini");
+  } catch (const SettingsError &Caught) {
+    for (const Problem &Known : Caught.problems())
+      Found.emplace_back(Known.m_Line, Known.m_Code);
+  }
+  return Found;
+}
+
+using Problems = std::vector<std::pair<int, ResultCode>>;
+
+} // namespace
+
+TEST(DesiredStateReader, readsServicesAndTeams) {
+  DesiredState State = readDesiredState(R"(; comment
+[service gatepost]
+slots = 8
+long_share = 25%
+long_threshold = 1500ms
+max_deadline = 5min
+[team vending]
+weight = 3
+quota = 40
+services = gatepost
+[team empty]
+)",
+                                        "test.ini");
+  const ServiceConfig &Service = State.m_Services.at("gatepost");
+  EXPECT_EQ(Service.m_Slots, 8u);
+  EXPECT_EQ(Service.m_LongSharePercent, 25u);
+  EXPECT_EQ(Service.m_LongThreshold, milliseconds(1500));
+  EXPECT_EQ(Service.m_MaxDeadline, seconds(300));
+  EXPECT_EQ(Service.m_Connections, 64u);
+  EXPECT_EQ(State.m_Teams.at("vending").m_Weight, 3u);
+  EXPECT_EQ(State.m_Teams.at("vending").m_Services.count("gatepost"), 1u);
+  EXPECT_EQ(State.m_Teams.count("empty"), 1u);
+}
+
+TEST(DesiredStateReader, reportsEveryProblemAtOnceWithLineAndCode) {
+  EXPECT_EQ(problemsOf("[service a]\n"
+                       "slots = many\n"
+                       "slot = 3\n"
+                       "long_threshold = 5\n"
+                       "[team t]\n"
+                       "services = a, b\n"
+                       "[teams x]\n"
+                       "y = 1\n"
+                       "[team bad_name]\n"),
+            (Problems{{2, ResultCode::BadNumber},
+                      {3, ResultCode::UnknownKey},
+                      {4, ResultCode::BadDuration},
+                      {6, ResultCode::DanglingName},
+                      {7, ResultCode::UnknownSection},
+                      {9, ResultCode::BadName}}));
+}
+
+TEST(DesiredStateReader, reportsSyntaxAndRepetition) {
+  EXPECT_EQ(problemsOf("[service a]\nnonsense\n"),
+            (Problems{{2, ResultCode::IniSyntax}}));
+  EXPECT_EQ(problemsOf("[service a]\nslots = 1\nslots = 2\n"),
+            (Problems{{3, ResultCode::DuplicateKey}}));
+  EXPECT_EQ(problemsOf("[service a]\n[service a]\n"),
+            (Problems{{2, ResultCode::DuplicateKey}}));
+  EXPECT_EQ(
+      problemsOf("[service a]\nslots = " + std::string(500, '1') + "\n").at(0),
+      (std::pair<int, ResultCode>{2, ResultCode::IniSyntax}));
+}
+
+TEST(DesiredStateReader, boundsDurationsAndNumbers) {
+  EXPECT_EQ(problemsOf("[service a]\nmax_deadline = 99999999999999999s\n"),
+            (Problems{{2, ResultCode::BadDuration}}));
+  EXPECT_EQ(problemsOf("[service a]\nslots = -1\n"),
+            (Problems{{2, ResultCode::BadNumber}}));
+  EXPECT_EQ(problemsOf("[service a]\ndefault_deadline = 10min\n"),
+            (Problems{{2, ResultCode::BadDuration}}));
+}
+
+TEST(DesiredStateReader, anyTextIsReadOrRefused) {
+  EXPECT_TRUE(rc::check("no other exception", [] {
+    auto Text = *rc::gen::container<std::string>(rc::gen::elementOf(
+        std::string("[]=;#\n \tservice team a1%s\"\0\xff", 30)));
+    problemsOf(Text);
+  }));
+}
+
+TEST(ProcessSettings, examplesAreValid) {
+  for (const char *Name : {"entry-1.ini", "entry-2.ini"})
+    EXPECT_NO_THROW(readEntrySettings(std::string(CW_SOURCE_DIR) +
+                                      "/examples/demo/" + Name));
+  EXPECT_NO_THROW(readAgentSettings(std::string(CW_SOURCE_DIR) +
+                                    "/examples/demo/agent-1.ini"));
+  for (const char *Name : {"gatepost", "voitelupalvelu"}) {
+    std::string File =
+        std::string(CW_SOURCE_DIR) + "/examples/" + Name + ".ini";
+    EXPECT_NO_THROW(readDesiredState(readFile(File), File));
+  }
+}
+
+TEST(ProcessSettings, missingFileIsNamed) {
+  try {
+    readEntrySettings("/nonexistent.ini");
+    FAIL();
+  } catch (const SettingsError &Caught) {
+    EXPECT_EQ(Caught.code(), ResultCode::UnreadableFile);
+    EXPECT_STREQ(Caught.what(),
+                 "/nonexistent.ini: error 1001: the file cannot be read");
+  }
+}
+
+TEST(IniReader, knowsAddressesAndNames) {
+  EXPECT_TRUE(isAddress("127.0.0.1:80"));
+  EXPECT_FALSE(isAddress("127.0.0.1"));
+  EXPECT_FALSE(isAddress("localhost:80"));
+  EXPECT_FALSE(isAddress("127.0.0.1:0"));
+  EXPECT_FALSE(isAddress("127.0.0.1:70000"));
+  EXPECT_TRUE(isName("tas-south.1"));
+  EXPECT_FALSE(isName("a b"));
+  EXPECT_FALSE(isName(""));
+}
