Run requests that are not repeatable at most once, by ticket or key

Tickets name one entry, which alone may run them, without a write. Keys chosen by the caller are claimed by conditional insert, several in one transaction, and read back when a reply is lost. What did not run frees its ticket or key.

The property test found a key that ran twice. Cause: the same key twice in one batch: both inserts stood in one transaction, whose conditions hold for both. Ruled out: a lost reply and the other entry, since two submissions at one entry without faults sufficed. A batch now holds a key once, a repetition waits for the next.

Also: what is under way (request, claim, apply) keeps itself alive through its callbacks instead of a list that was searched at each step.

--- a/packages/configuration/internal/applyservice.cpp
+++ b/packages/configuration/internal/applyservice.cpp
@@ -90,28 +90,15 @@
     Started->m_Done({Caught.code(), Caught.what(), {}});
     return;
   }
-  m_Running.push_back(Started);
   fire(Started, ApplyEvent::Begin);
 }
 
 void ApplyService::fire(const Pointer &Running, ApplyEvent What) {
   m_Chart.fire(*Running, What);
-  bool IsOver = Running->m_State == ApplyState::Accepted ||
-                Running->m_State == ApplyState::Refused ||
-                Running->m_State == ApplyState::Unconfirmed;
-  if (IsOver)
-    std::erase(m_Running, Running);
-}
-
-ApplyService::Pointer
-ApplyService::pointerTo(const ApplyContext &Running) const {
-  return *std::find_if(
-      m_Running.begin(), m_Running.end(),
-      [&Running](const Pointer &Known) { return Known.get() == &Running; });
 }
 
 void ApplyService::putText(ApplyContext &Running) {
-  Pointer Self = pointerTo(Running);
+  Pointer Self = Running.shared_from_this();
   const std::string &Text = Running.m_Request.m_Text;
   m_Objects.put(textObject(digestOf(Text)), Text,
                 [this, Self](StoreStatus S) { fire(Self, toEvent(S)); });
@@ -130,7 +117,7 @@
 
 /// An apply that is repeated with its id finds the record of the first try.
 void ApplyService::readHead(ApplyContext &Running) {
-  Pointer Self = pointerTo(Running);
+  Pointer Self = Running.shared_from_this();
   m_Tables.read(applyRow(Running.m_Request.m_ApplyId),
                 [this, Self](const ReadResult &Result) {
                   if (Result.m_Status != StoreStatus::Ok) {
@@ -170,7 +157,7 @@
                    {{headRow(), m_Codec.m_Encode(Short)},
                     {auditRow(Proposed.m_Version), Full},
                     {Own, m_Codec.m_Encode(Short)}}};
-  Pointer Self = pointerTo(Running);
+  Pointer Self = Running.shared_from_this();
   m_Tables.transact(std::move(Swap),
                     [this, Self](const TransactionResult &Result) {
                       fire(Self, toEvent(Result.m_Status));
@@ -179,7 +166,7 @@
 
 void ApplyService::readBack(ApplyContext &Running) {
   ++Running.m_ReadBacks;
-  Pointer Self = pointerTo(Running);
+  Pointer Self = Running.shared_from_this();
   m_Tables.read(applyRow(Running.m_Request.m_ApplyId),
                 [this, Self](const ReadResult &Result) {
                   if (Result.m_Status != StoreStatus::Ok)
@@ -204,7 +191,7 @@
 }
 
 void ApplyService::readBackLater(ApplyContext &Running) {
-  Pointer Self = pointerTo(Running);
+  Pointer Self = Running.shared_from_this();
   m_Timers.subscribe(ReadBackPause, [this, Self] { readBack(*Self); });
 }
 
--- a/packages/configuration/internal/applyservice.h
+++ b/packages/configuration/internal/applyservice.h
@@ -31,7 +31,7 @@
 };
 
 /// One apply under way.
-struct ApplyContext {
+struct ApplyContext : std::enable_shared_from_this<ApplyContext> {
   ApplyState m_State = ApplyState::Proposed;
   ApplyRequest m_Request;
   DesiredState m_Desired;
@@ -59,7 +59,6 @@
 
   Chart bindChart(const IChartSource &Charts);
   void fire(const Pointer &Running, ApplyEvent What);
-  Pointer pointerTo(const ApplyContext &Running) const;
 
   void putText(ApplyContext &Running);
   void readHead(ApplyContext &Running);
@@ -81,7 +80,6 @@
   IObjectStore &m_Objects;
   ITimerService &m_Timers;
   const Chart m_Chart;
-  std::vector<Pointer> m_Running;
 };
 
 } // namespace cyclamenwalk
--- a/packages/job/ijobservice.h
+++ b/packages/job/ijobservice.h
@@ -14,9 +14,22 @@
 public:
   virtual ~IJobService() = default;
 
-  /// Admits or refuses a job. \p Done gets the answer, at once if it is
-  /// refused. The returned id is also that of a refused job.
-  virtual JobId submit(JobSpec Spec, JobDone Done) = 0;
+  /// The id of a job that is yet to be submitted.
+  virtual JobId reserve() = 0;
+
+  /// Whether a job would be admitted now; Ok or the code of the refusal.
+  virtual ResultCode precheck(const JobSpec &Spec) = 0;
+
+  /// Admits or refuses a job under a reserved id. \p Done gets the answer, at
+  /// once if it is refused.
+  virtual void submitAs(JobId Id, JobSpec Spec, JobDone Done) = 0;
+
+  /// submitAs() with a fresh id, which is also that of a refused job.
+  JobId submit(JobSpec Spec, JobDone Done) {
+    JobId Id = reserve();
+    submitAs(Id, std::move(Spec), std::move(Done));
+    return Id;
+  }
 
   /// Calls \p Done with the answer of a job that is known, at once if it has
   /// ended; false when the job is not known.
--- a/packages/job/internal/jobservice.cpp
+++ b/packages/job/internal/jobservice.cpp
@@ -120,23 +120,23 @@
        {"answer", [this](Job &J) { answer(J); }}});
 }
 
-JobId JobService::submit(JobSpec Spec, JobDone Done) {
-  JobId Id{m_Own, ++m_LastSequence};
+JobId JobService::reserve() { return JobId{m_Own, ++m_LastSequence}; }
+
+ResultCode JobService::precheck(const JobSpec &Spec) {
   ResultCode Code = check(Spec);
-  Duration Deadline{};
-  if (Code == ResultCode::Ok) {
-    Deadline = deadlineOf(Spec);
-    Code = admit(Spec, Deadline);
-  }
+  return Code == ResultCode::Ok ? admit(Spec) : Code;
+}
+
+void JobService::submitAs(JobId Id, JobSpec Spec, JobDone Done) {
+  ResultCode Code = precheck(Spec);
   if (Code != ResultCode::Ok) {
     m_Metrics.count(Metric::JobsRefused);
     Done({Id, Code, std::string(describe(Code).m_Text), {}});
-    return Id;
+    return;
   }
   Job &Added = m_Jobs.add(Id);
   Added.m_Waiters.push_back(std::move(Done));
-  start(Added, std::move(Spec), Deadline);
-  return Id;
+  start(Added, std::move(Spec));
 }
 
 ResultCode JobService::check(const JobSpec &Spec) const {
@@ -170,13 +170,13 @@
   return std::min(Wanted, Service.m_MaxDeadline);
 }
 
-ResultCode JobService::admit(const JobSpec &Spec, Duration Deadline) {
+ResultCode JobService::admit(const JobSpec &Spec) {
   Dispatcher &Owner = dispatcher(Spec.m_Service);
   auto Learned =
       m_RunTimes->quantile(Spec.m_Service, Spec.m_Kind, BoundQuantile);
   auto Tasks = static_cast<std::int64_t>(Spec.m_Payloads.size());
   AdmissionView View;
-  View.m_Remaining = Deadline;
+  View.m_Remaining = deadlineOf(Spec);
   // What a caller declares is no ground for refusal: it is often far off.
   if (Learned) {
     View.m_TaskTimeBound = *Learned;
@@ -197,7 +197,8 @@
   return std::clamp(Declared, ShortestDeclared, LongestDeclared);
 }
 
-void JobService::start(Job &Added, JobSpec Spec, Duration Deadline) {
+void JobService::start(Job &Added, JobSpec Spec) {
+  Duration Deadline = deadlineOf(Spec);
   m_Metrics.count(Metric::JobsAccepted);
   Added.m_State = m_JobChart.initial();
   Added.m_Spec = std::move(Spec);
--- a/packages/job/internal/jobservice.h
+++ b/packages/job/internal/jobservice.h
@@ -15,7 +15,9 @@
              EntryShareSource Share, JobDependencies Needs);
   ~JobService() override;
 
-  JobId submit(JobSpec Spec, JobDone Done) override;
+  JobId reserve() override;
+  ResultCode precheck(const JobSpec &Spec) override;
+  void submitAs(JobId Id, JobSpec Spec, JobDone Done) override;
   bool wait(JobId Id, JobDone Done) override;
   bool cancel(JobId Id) override;
   void agentUp(const Peer &Agent) override;
@@ -31,9 +33,9 @@
 
   ResultCode check(const JobSpec &Spec) const;
   Duration deadlineOf(const JobSpec &Spec) const;
-  ResultCode admit(const JobSpec &Spec, Duration Deadline);
+  ResultCode admit(const JobSpec &Spec);
   Duration expectedTaskTime(const JobSpec &Spec) const;
-  void start(Job &Added, JobSpec Spec, Duration Deadline);
+  void start(Job &Added, JobSpec Spec);
 
   void place(JobId Id);
   void sendStart(Job &Owner, std::uint32_t Index, const AgentCredit &Spent);
--- /dev/null
+++ b/packages/request/requestmodule.h
@@ -0,0 +1,29 @@
+#ifndef CYCLAMENWALK_REQUEST_REQUESTMODULE_H
+#define CYCLAMENWALK_REQUEST_REQUESTMODULE_H
+
+#include "core/itimerservice.h"
+#include "job/ijobservice.h"
+#include "platform/itableservice.h"
+#include "request/irequestservice.h"
+#include "statechart/ichartsource.h"
+
+#include <memory>
+
+namespace cyclamenwalk {
+
+struct RequestDependencies {
+  const IChartSource &m_Charts;
+  IJobService &m_Jobs;
+  ITableService &m_Tables;
+  ITimerService &m_Timers;
+};
+
+std::unique_ptr<IRequestService> makeRequestService(Incarnation Own,
+                                                    RequestSettings Settings,
+                                                    ClaimRowCodec Codec,
+                                                    FetchElsewhere Fetch,
+                                                    RequestDependencies Needs);
+
+} // namespace cyclamenwalk
+
+#endif // CYCLAMENWALK_REQUEST_REQUESTMODULE_H
