--- /dev/null
+++ b/apps/cyclamenwalk.cpp
@@ -0,0 +1,6 @@
+#include "cli/cliprogram.h"
+
+int main(int Count, char **Arguments) {
+  return static_cast<int>(
+      cyclamenwalk::runCli({Arguments + 1, Arguments + Count}));
+}
--- /dev/null
+++ b/apps/cyclamenwalkagent.cpp
@@ -0,0 +1,6 @@
+#include "cli/cliprogram.h"
+
+int main(int Count, char **Arguments) {
+  return static_cast<int>(
+      cyclamenwalk::runAgentCli({Arguments + 1, Arguments + Count}));
+}
--- /dev/null
+++ b/packages/agent/agentprogram.h
@@ -0,0 +1,28 @@
+#ifndef CYCLAMENWALK_AGENT_AGENTPROGRAM_H
+#define CYCLAMENWALK_AGENT_AGENTPROGRAM_H
+
+#include "settings/processsettings.h"
+
+#include <memory>
+
+namespace cyclamenwalk {
+
+/// The agent: stands beside one backend server and owns its slots.
+class AgentProgram {
+public:
+  /// Throws Error when an address is taken or a chart is not valid.
+  explicit AgentProgram(const AgentSettings &Settings);
+  ~AgentProgram();
+
+  /// Serves on the calling thread, which becomes the control thread, until a
+  /// signal has drained the process.
+  void run();
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> m_Impl;
+};
+
+} // namespace cyclamenwalk
+
+#endif // CYCLAMENWALK_AGENT_AGENTPROGRAM_H
--- /dev/null
+++ b/packages/agent/internal/agentprogram.cpp
@@ -0,0 +1,271 @@
+#include "agent/agentprogram.h"
+
+#include "agent/internal/backendcodec.h"
+#include "agent/internal/httpexecutor.h"
+#include "configuration/configurationmodule.h"
+#include "configuration/configurationrelay.h"
+#include "core/controlloop.h"
+#include "core/error.h"
+#include "core/log.h"
+#include "http/httpclientmodule.h"
+#include "http/httpserver.h"
+#include "membership/membershipmodule.h"
+#include "metrics/metricsregistry.h"
+#include "platform/platformmodule.h"
+#include "process/chartlocation.h"
+#include "process/processlifecycle.h"
+#include "process/signalwatch.h"
+#include "rowcodec/rowcodecs.h"
+#include "settings/desiredstatereader.h"
+#include "slot/slotmodule.h"
+#include "statechart/chartfolder.h"
+#include "transport/transportmodule.h"
+
+#include <set>
+
+namespace cyclamenwalk {
+
+namespace {
+
+constexpr std::size_t ControlCallThreads = 2;
+constexpr Duration HttpStopLimit = seconds(2);
+constexpr int HttpOk = 200;
+constexpr int HttpBadRequest = 400;
+constexpr int HttpUnavailable = 503;
+
+DesiredState parseConfiguration(const std::string &Text) {
+  return readDesiredState(Text, "configuration");
+}
+
+HttpResponse respond(int Status, const std::string &Name,
+                     const std::string &Value) {
+  HttpResponse Response;
+  Response.m_Status = Status;
+  Response.m_Body = encodeText(Name, Value);
+  return Response;
+}
+
+} // namespace
+
+class AgentProgram::Impl {
+public:
+  explicit Impl(const AgentSettings &Settings)
+      : m_Settings(Settings), m_Process(Settings.m_Process), m_Own(makeSelf()),
+        m_Charts(chartLocation(m_Process.m_Charts)),
+        m_Metrics(m_Process.m_Name, m_Process.m_FailureDomain),
+        m_Platform({m_Process.m_Platform, m_Process.m_PlatformTimeout}, m_Loop,
+                   m_Loop, m_Metrics),
+        m_TaskClient(Settings.m_ExecutorThreads, m_Loop),
+        m_ControlClient(ControlCallThreads, m_Loop),
+        m_Transport({m_Process.m_MessageListen, m_Process.m_MessageLimit},
+                    m_Loop, m_Metrics),
+        m_Links(makeLinks(m_Own, LinkSettings{}, m_Charts,
+                          m_Transport.transport(), m_Loop, m_Metrics)),
+        m_Configuration(makeConfigurationStore(parseConfiguration, m_Charts)),
+        m_Relay(*m_Configuration, *m_Links),
+        m_Executor(m_TaskClient.client(), m_ControlClient.client()),
+        m_Slots(makeSlotService(SlotSettings{}, chooseByDemand, m_Charts,
+                                *m_Links, m_Executor, m_Loop, m_Metrics)),
+        m_Selection(makeEntrySelection(
+            {m_Process.m_Name, Settings.m_Entries, Settings.m_Links}, *m_Links,
+            m_Loop, [this] { lookUpEntries(); })),
+        m_Lifecycle(lifecycleHooks(), m_Process.m_DrainLimit, m_Charts, m_Loop),
+        m_Http({m_Process.m_HttpListen, m_Process.m_BodyLimit}) {
+    wireLinks();
+    wireHttp();
+  }
+
+  void run() {
+    m_Loop.tryPost([this] { start(); });
+    m_Signals.start([this] { m_Loop.post([this] { m_Lifecycle.drain(); }); });
+    m_Loop.run();
+    m_Http.stop(HttpStopLimit);
+    m_Transport.stop();
+    logEvent(LogLevel::Info, "process.ended");
+  }
+
+private:
+  Self makeSelf() const {
+    return {m_Process.m_Name, drawIncarnation(), m_Process.m_MessageListen,
+            m_Process.m_FailureDomain, Role::Agent};
+  }
+
+  ProcessLifecycle::Hooks lifecycleHooks() {
+    return {[this] { m_Slots->leave(); },
+            [this] { return m_Slots->running() == 0 && m_Links->isFlushed(); },
+            [this] {
+              for (Incarnation Entry : std::set<Incarnation>(m_Entries))
+                m_Links->disconnect(Entry);
+            },
+            [this] { m_Loop.stop(); }};
+  }
+
+  void wireLinks() {
+    m_Links->setHooks(
+        {[this](const Peer &Entry) { entryUp(Entry); },
+         [this](Incarnation Entry, Message &Body) { receive(Entry, Body); },
+         [this](const Peer &Entry) { entryDown(Entry); },
+         [](const std::string &Address) {
+           logEvent(LogLevel::Info, "entry.unreachable",
+                    {{"address", Address}});
+         }});
+    m_Configuration->subscribe([this] { applyLimits(); });
+  }
+
+  void wireHttp() {
+    m_Http.route("POST", "/v1/announce", [this](const HttpRequest &Request) {
+      return announce(Request);
+    });
+    m_Http.route("POST", "/v1/leave", [this](const HttpRequest &) {
+      m_Loop.post([this] { m_Slots->leave(); });
+      return respond(HttpOk, "state", "leaving");
+    });
+    m_Http.route("POST", "/v1/drain", [this](const HttpRequest &) {
+      m_Loop.post([this] {
+        if (m_Lifecycle.isServing())
+          m_Lifecycle.drain();
+      });
+      return respond(HttpOk, "state", "draining");
+    });
+    m_Http.route("GET", "/healthz", [](const HttpRequest &) {
+      return respond(HttpOk, "state", "ok");
+    });
+    m_Http.route("GET", "/readyz", [this](const HttpRequest &) {
+      int Status = m_Lifecycle.isServing() ? HttpOk : HttpUnavailable;
+      return respond(Status, "state", m_Lifecycle.stateName());
+    });
+    m_Http.route("GET", "/metrics", [this](const HttpRequest &) {
+      HttpResponse Response;
+      Response.m_ContentType = "text/plain; version=0.0.4";
+      Response.m_Body = m_Metrics.render();
+      return Response;
+    });
+    m_Http.onTooLarge([](const HttpRequest &) {
+      return respond(describe(ResultCode::BodyTooLarge).m_HttpStatus, "error",
+                     "the body is too large");
+    });
+    m_Http.onNotFound([](const HttpRequest &) {
+      return respond(describe(ResultCode::NotFound).m_HttpStatus, "error",
+                     "no such resource");
+    });
+  }
+
+  void start() {
+    m_Selection->start();
+    m_Http.start();
+    m_Lifecycle.ready();
+    logEvent(LogLevel::Info, "agent.started",
+             {{"incarnation", toString(m_Own.m_Incarnation)},
+              {"http", m_Process.m_HttpListen},
+              {"messages", m_Process.m_MessageListen}});
+  }
+
+  /// The backend server announces itself, and repeats it as its heartbeat.
+  HttpResponse announce(const HttpRequest &Request) {
+    try {
+      BackendOffer Offer = decodeOffer(Request.m_Body);
+      m_Loop.post([this, Offer] {
+        bool IsNew = m_Service != Offer.m_Service;
+        m_Service = Offer.m_Service;
+        if (IsNew)
+          applyLimits();
+        // A process that drains brings no new work to its backend server.
+        if (m_Lifecycle.isServing())
+          m_Slots->announce(Offer);
+      });
+      return respond(HttpOk, "state", m_Lifecycle.stateName());
+    } catch (const Error &Caught) {
+      logEvent(LogLevel::Warning, "announce.refused",
+               {{"code", static_cast<int>(Caught.code())},
+                {"detail", Caught.what()}});
+      return respond(HttpBadRequest, "error", Caught.what());
+    }
+  }
+
+  void applyLimits() {
+    if (m_Configuration->version() == 0)
+      return;
+    const auto &Services = m_Configuration->state().m_Services;
+    auto Found = Services.find(m_Service);
+    SlotLimits Limits;
+    Limits.m_IsServiceKnown = Found != Services.end();
+    if (Limits.m_IsServiceKnown) {
+      Limits.m_Slots = Found->second.m_Slots;
+      Limits.m_Connections = Found->second.m_Connections;
+      Limits.m_LongSharePercent = Found->second.m_LongSharePercent;
+      Limits.m_LongThreshold = Found->second.m_LongThreshold;
+    }
+    m_Slots->setLimits(Limits);
+  }
+
+  void entryUp(const Peer &Entry) {
+    logEvent(LogLevel::Info, "entry.up",
+             {{"entry", Entry.m_Name},
+              {"incarnation", toString(Entry.m_Incarnation)}});
+    m_Entries.insert(Entry.m_Incarnation);
+    m_Selection->linkUp(Entry.m_Incarnation);
+    m_Relay.peerUp(Entry.m_Incarnation);
+    m_Slots->entryUp(Entry);
+  }
+
+  void entryDown(const Peer &Entry) {
+    logEvent(LogLevel::Info, "entry.down",
+             {{"entry", Entry.m_Name},
+              {"incarnation", toString(Entry.m_Incarnation)}});
+    m_Entries.erase(Entry.m_Incarnation);
+    m_Selection->linkDown(Entry.m_Incarnation);
+    m_Relay.peerDown(Entry.m_Incarnation);
+    m_Slots->entryDown(Entry);
+  }
+
+  void receive(Incarnation Entry, Message &Body) {
+    if (auto *List = std::get_if<EntryList>(&Body))
+      m_Selection->offer(std::move(List->m_Entries));
+    else if (!m_Relay.receive(Entry, Body))
+      m_Slots->receive(Entry, Body);
+  }
+
+  void lookUpEntries() {
+    if (m_Process.m_Platform.empty())
+      return;
+    m_Platform.tables().scan("entries", "", [this](const ScanResult &Result) {
+      std::vector<EntryAddress> Found;
+      for (const KeyedRow &Known : Result.m_Rows)
+        if (auto Row = entryRowCodec().m_Decode(Known.m_Row.m_Value))
+          Found.push_back(Row->m_Address);
+      if (!Found.empty())
+        m_Selection->offer(std::move(Found));
+    });
+  }
+
+  // Signals are blocked before the first thread is made.
+  SignalWatch m_Signals;
+  const AgentSettings m_Settings;
+  const ProcessSettings &m_Process;
+  const Self m_Own;
+  const ChartFolder m_Charts;
+  ControlLoop m_Loop;
+  MetricsRegistry m_Metrics;
+  PlatformModule m_Platform;
+  HttpClientModule m_TaskClient;
+  HttpClientModule m_ControlClient;
+  TransportModule m_Transport;
+  std::unique_ptr<ILinks> m_Links;
+  std::unique_ptr<IConfigurationStore> m_Configuration;
+  ConfigurationRelay m_Relay;
+  HttpExecutor m_Executor;
+  std::unique_ptr<ISlotService> m_Slots;
+  std::unique_ptr<IEntrySelection> m_Selection;
+  ProcessLifecycle m_Lifecycle;
+  HttpServer m_Http;
+  std::set<Incarnation> m_Entries;
+  std::string m_Service;
+};
+
+AgentProgram::AgentProgram(const AgentSettings &Settings)
+    : m_Impl(std::make_unique<Impl>(Settings)) {}
+AgentProgram::~AgentProgram() = default;
+
+void AgentProgram::run() { m_Impl->run(); }
+
+} // namespace cyclamenwalk
--- /dev/null
+++ b/packages/agent/internal/httpexecutor.cpp
@@ -0,0 +1,37 @@
+#include "agent/internal/httpexecutor.h"
+
+#include "agent/internal/backendcodec.h"
+
+namespace cyclamenwalk {
+
+namespace {
+
+constexpr Duration StopTimeout = seconds(2);
+
+HttpRequest post(const std::string &Address, const char *Path,
+                 std::string Body) {
+  HttpRequest Request;
+  Request.m_Method = "POST";
+  Request.m_Url = "http://" + Address + Path;
+  Request.m_Headers["Content-Type"] = "application/json";
+  Request.m_Body = std::move(Body);
+  return Request;
+}
+
+} // namespace
+
+void HttpExecutor::execute(const std::string &Address, ExecutionRequest Request,
+                           Done Call) {
+  m_Tasks.send(post(Address, "/execute", encodeExecution(Request)),
+               Request.m_Timeout,
+               [Call = std::move(Call)](const HttpResponse &Response) {
+                 Call(decodeExecution(Response));
+               });
+}
+
+void HttpExecutor::stop(const std::string &Address, TaskId Task) {
+  m_Control.send(post(Address, "/stop", encodeText("task", toString(Task))),
+                 StopTimeout, [](const HttpResponse &) {});
+}
+
+} // namespace cyclamenwalk
--- /dev/null
+++ b/packages/cli/tests/cli_test.cpp
@@ -0,0 +1,73 @@
+#include "cli/cliprogram.h"
+#include "core/types/resultcode.h"
+
+#include <fstream>
+#include <gmock/gmock.h>
+#include <sstream>
+
+using namespace cyclamenwalk;
+using testing::HasSubstr;
+
+namespace {
+
+/// Runs the command line and keeps what it prints.
+struct CliRun {
+  explicit CliRun(const std::vector<std::string> &Arguments) {
+    testing::internal::CaptureStdout();
+    testing::internal::CaptureStderr();
+    m_Status = runCli(Arguments);
+    m_Out = testing::internal::GetCapturedStdout();
+    m_Err = testing::internal::GetCapturedStderr();
+  }
+
+  ExitStatus m_Status;
+  std::string m_Out;
+  std::string m_Err;
+};
+
+std::string example(const std::string &Name) {
+  return std::string(CW_SOURCE_DIR) + "/examples/" + Name;
+}
+
+} // namespace
+
+TEST(Cli, wrongCommandLinesAreNumberedAndTold) {
+  EXPECT_EQ(CliRun({}).m_Status, ExitStatus::Usage);
+  EXPECT_EQ(CliRun({"dance"}).m_Status, ExitStatus::Usage);
+  CliRun Missing({"check"});
+  EXPECT_EQ(Missing.m_Status, ExitStatus::Usage);
+  EXPECT_THAT(Missing.m_Err, HasSubstr("error 1201"));
+  EXPECT_EQ(CliRun({"check", "--what", "x"}).m_Status, ExitStatus::Usage);
+}
+
+TEST(Cli, helpAndVersionSucceed) {
+  EXPECT_THAT(CliRun({"--help"}).m_Out, HasSubstr("apply"));
+  EXPECT_THAT(CliRun({"--version"}).m_Out, HasSubstr("cyclamenwalk 0."));
+  CliRun Help({"apply", "--help"});
+  EXPECT_EQ(Help.m_Status, ExitStatus::Ok);
+  EXPECT_THAT(Help.m_Out, HasSubstr("--base"));
+}
+
+TEST(Cli, checkReportsEveryProblem) {
+  EXPECT_EQ(CliRun({"check", example("gatepost.ini")}).m_Status,
+            ExitStatus::Ok);
+  std::string File = testing::TempDir() + "bad.ini";
+  std::ofstream(File) << "[service a]\nslots = x\nfoo = 1\n";
+  CliRun Bad({"check", File});
+  EXPECT_EQ(Bad.m_Status, ExitStatus::Invalid);
+  EXPECT_THAT(Bad.m_Err, HasSubstr(File + ":2: error 1006"));
+  EXPECT_THAT(Bad.m_Err, HasSubstr(File + ":3: error 1004"));
+}
+
+TEST(Cli, unreachableEntryHasItsOwnStatus) {
+  CliRun Status({"status", "--entry", "127.0.0.1:1"});
+  EXPECT_EQ(Status.m_Status, ExitStatus::Unreachable);
+  EXPECT_THAT(Status.m_Err, HasSubstr("error 1202"));
+}
+
+TEST(Cli, codesAreThoseOfTheDocumentation) {
+  std::ifstream Stream(std::string(CW_SOURCE_DIR) + "/docs/ERRORS.md");
+  std::stringstream Page;
+  Page << Stream.rdbuf();
+  EXPECT_THAT(Page.str(), HasSubstr(CliRun({"codes"}).m_Out));
+}
--- /dev/null
+++ b/packages/entry/entryprogram.h
@@ -0,0 +1,28 @@
+#ifndef CYCLAMENWALK_ENTRY_ENTRYPROGRAM_H
+#define CYCLAMENWALK_ENTRY_ENTRYPROGRAM_H
+
+#include "settings/processsettings.h"
+
+#include <memory>
+
+namespace cyclamenwalk {
+
+/// The entry: takes requests of callers and owns their jobs.
+class EntryProgram {
+public:
+  /// Throws Error when an address is taken or a chart is not valid.
+  explicit EntryProgram(const EntrySettings &Settings);
+  ~EntryProgram();
+
+  /// Serves on the calling thread, which becomes the control thread, until a
+  /// signal or an operator has drained the process.
+  void run();
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> m_Impl;
+};
+
+} // namespace cyclamenwalk
+
+#endif // CYCLAMENWALK_ENTRY_ENTRYPROGRAM_H
--- /dev/null
+++ b/packages/entry/internal/entryprogram.cpp
@@ -0,0 +1,257 @@
+#include "entry/entryprogram.h"
+
+#include "configuration/configurationmodule.h"
+#include "configuration/configurationrelay.h"
+#include "core/controlloop.h"
+#include "core/log.h"
+#include "entry/internal/callerapi.h"
+#include "entry/internal/jsoncodec.h"
+#include "entry/internal/operatorapi.h"
+#include "entry/internal/peersync.h"
+#include "entry/internal/policychoice.h"
+#include "http/httpclientmodule.h"
+#include "job/jobmodule.h"
+#include "membership/membershipmodule.h"
+#include "platform/platformmodule.h"
+#include "process/chartlocation.h"
+#include "process/signalwatch.h"
+#include "request/requestmodule.h"
+#include "rowcodec/rowcodecs.h"
+#include "settings/desiredstatereader.h"
+#include "statechart/chartfolder.h"
+#include "transport/transportmodule.h"
+
+#include <set>
+
+namespace cyclamenwalk {
+
+namespace {
+
+constexpr std::size_t ClientThreads = 4;
+constexpr Duration FetchTimeout = seconds(305);
+constexpr Duration HttpStopLimit = seconds(5);
+
+DesiredState parseConfiguration(const std::string &Text) {
+  return readDesiredState(Text, "configuration");
+}
+
+} // namespace
+
+class EntryProgram::Impl {
+public:
+  explicit Impl(const EntrySettings &Settings)
+      : m_Settings(Settings), m_Process(Settings.m_Process),
+        m_Own(makeAddress()), m_Charts(chartLocation(m_Process.m_Charts)),
+        m_Metrics(m_Process.m_Name, m_Process.m_FailureDomain),
+        m_Platform({m_Process.m_Platform, m_Process.m_PlatformTimeout}, m_Loop,
+                   m_Loop, m_Metrics),
+        m_Client(ClientThreads, m_Loop),
+        m_Transport({m_Process.m_MessageListen, m_Process.m_MessageLimit},
+                    m_Loop, m_Metrics),
+        m_Links(makeLinks(makeSelf(), LinkSettings{}, m_Charts,
+                          m_Transport.transport(), m_Loop, m_Metrics)),
+        m_Registry(makeEntryRegistry(m_Own, RegistrySettings{}, entryRowCodec(),
+                                     m_Charts, m_Platform.tables(), m_Loop)),
+        m_Configuration(makeConfigurationStore(parseConfiguration, m_Charts)),
+        m_Relay(*m_Configuration, *m_Links),
+        m_Apply(makeApplyService(
+            parseConfiguration, recordCodec(), *m_Configuration, m_Charts,
+            m_Platform.tables(), m_Platform.objects(), m_Loop)),
+        m_Jobs(makeJobs()), m_Requests(makeRequests()),
+        m_Lifecycle(lifecycleHooks(), m_Process.m_DrainLimit, m_Charts, m_Loop),
+        m_PeerSync({Settings.m_Peers, Settings.m_OperatorToken}, m_Own,
+                   m_Client.client(), *m_Registry, *m_Configuration, m_Loop),
+        m_Context{m_Own,       Settings.m_OperatorToken,
+                  m_Loop,      m_Loop,
+                  *m_Jobs,     *m_Requests,
+                  *m_Registry, *m_Configuration,
+                  *m_Apply,    m_Platform.tables(),
+                  m_Lifecycle, m_Metrics},
+        m_CallerApi(m_Context), m_OperatorApi(m_Context),
+        m_Http({m_Process.m_HttpListen, m_Process.m_BodyLimit}) {
+    wireLinks();
+    wireHttp();
+  }
+
+  void run() {
+    m_Loop.tryPost([this] { start(); });
+    m_Signals.start([this] { m_Loop.post([this] { m_Lifecycle.drain(); }); });
+    m_Loop.run();
+    m_Http.stop(HttpStopLimit);
+    m_Transport.stop();
+    logEvent(LogLevel::Info, "process.ended");
+  }
+
+private:
+  EntryAddress makeAddress() const {
+    return {m_Process.m_Name, drawIncarnation(), m_Process.m_MessageListen,
+            m_Process.m_HttpListen, m_Process.m_FailureDomain};
+  }
+
+  Self makeSelf() const {
+    return {m_Own.m_Name, m_Own.m_Incarnation, m_Own.m_Address,
+            m_Own.m_FailureDomain, Role::Entry};
+  }
+
+  std::unique_ptr<IJobService> makeJobs() {
+    JobSettings Wanted;
+    Wanted.m_MaxJobs = m_Settings.m_MaxJobs;
+    Wanted.m_AnswerLifetime = m_Settings.m_AnswerLifetime;
+    Wanted.m_MaxAnswerBytes = m_Settings.m_AnswerMemory;
+    return makeJobService(
+        m_Own.m_Incarnation, Wanted, choosePolicies(m_Settings),
+        [this] { return entryShare(); },
+        {m_Charts, *m_Links, *m_Configuration, m_Loop, m_Metrics});
+  }
+
+  std::unique_ptr<IRequestService> makeRequests() {
+    return makeRequestService(
+        m_Own.m_Incarnation, RequestSettings{}, claimRowCodec(),
+        [this](JobId Id, const JobDone &Done) { fetchElsewhere(Id, Done); },
+        {m_Charts, *m_Jobs, m_Platform.tables(), m_Loop});
+  }
+
+  ProcessLifecycle::Hooks lifecycleHooks() {
+    return {[this] { m_Http.closeConnections(); },
+            [this] {
+              // A request can be in flight before its job is.
+              return m_Http.running() == 0 && m_Jobs->running() == 0 &&
+                     m_Links->isFlushed();
+            },
+            [this] { leave(); }, [this] { m_Loop.stop(); }};
+  }
+
+  /// The row stays until here, so that jobs can be fetched during a drain.
+  void leave() {
+    m_Registry->leave();
+    for (Incarnation Agent : std::set<Incarnation>(m_Agents)) {
+      m_Links->send(Agent, EntryList{m_Registry->members()});
+      m_Links->disconnect(Agent);
+    }
+  }
+
+  void wireLinks() {
+    m_Links->setHooks({[this](const Peer &Agent) { agentUp(Agent); },
+                       [this](Incarnation Agent, Message &Body) {
+                         if (!m_Relay.receive(Agent, Body))
+                           m_Jobs->receive(Agent, Body);
+                       },
+                       [this](const Peer &Agent) { agentDown(Agent); },
+                       [](const std::string &) {}});
+    m_Configuration->subscribe([this] { m_Jobs->reconfigure(); });
+  }
+
+  void wireHttp() {
+    m_CallerApi.addRoutes(m_Http);
+    m_OperatorApi.addRoutes(m_Http);
+    m_Http.onTooLarge([](const HttpRequest &) {
+      return encodeProblem(ResultCode::BodyTooLarge, "the body is too large");
+    });
+    m_Http.onNotFound([](const HttpRequest &Request) {
+      return encodeProblem(ResultCode::NotFound,
+                           "no such resource: " + Request.m_Url);
+    });
+  }
+
+  void start() {
+    m_Watch = std::make_unique<ConfigurationWatch>(
+        m_Settings.m_ConfigurationPoll, recordCodec(), *m_Configuration,
+        m_Platform.tables(), m_Platform.objects(), m_Loop);
+    m_Registry->start([this](const std::vector<EntryAddress> &) {
+      m_Jobs->reconfigure();
+      sendEntryList();
+    });
+    m_PeerSync.start();
+    m_Http.start();
+    m_Lifecycle.ready();
+    logEvent(LogLevel::Info, "entry.started",
+             {{"incarnation", toString(m_Own.m_Incarnation)},
+              {"http", m_Own.m_HttpAddress},
+              {"messages", m_Own.m_Address}});
+  }
+
+  void agentUp(const Peer &Agent) {
+    logEvent(LogLevel::Info, "agent.up",
+             {{"agent", Agent.m_Name},
+              {"incarnation", toString(Agent.m_Incarnation)}});
+    m_Agents.insert(Agent.m_Incarnation);
+    m_Jobs->agentUp(Agent);
+    m_Relay.peerUp(Agent.m_Incarnation);
+    m_Links->send(Agent.m_Incarnation, EntryList{m_Registry->members()});
+  }
+
+  void agentDown(const Peer &Agent) {
+    logEvent(LogLevel::Info, "agent.down",
+             {{"agent", Agent.m_Name},
+              {"incarnation", toString(Agent.m_Incarnation)}});
+    m_Agents.erase(Agent.m_Incarnation);
+    m_Relay.peerDown(Agent.m_Incarnation);
+    m_Jobs->agentDown(Agent);
+  }
+
+  void sendEntryList() {
+    for (Incarnation Agent : m_Agents)
+      m_Links->send(Agent, EntryList{m_Registry->members()});
+  }
+
+  EntryShare entryShare() const {
+    auto Members = m_Registry->members();
+    EntryShare Share;
+    Share.m_Entries = Members.size();
+    for (std::size_t I = 0; I < Members.size(); ++I)
+      if (Members[I].m_Incarnation == m_Own.m_Incarnation)
+        Share.m_Rank = I;
+    return Share;
+  }
+
+  void fetchElsewhere(JobId Id, const JobDone &Done) {
+    for (const EntryAddress &Known : m_Registry->members()) {
+      if (Known.m_Incarnation != Id.m_Entry)
+        continue;
+      HttpRequest Request;
+      Request.m_Url = "http://" + Known.m_HttpAddress + "/v1/jobs/" +
+                      toString(Id) + "?wait_ms=300000";
+      m_Client.client().send(Request, FetchTimeout,
+                             [Id, Done](const HttpResponse &Response) {
+                               Done(decodeAnswer(Id, Response));
+                             });
+      return;
+    }
+    Done(decodeAnswer(Id, HttpResponse{}));
+  }
+
+  // Signals are blocked before the first thread is made.
+  SignalWatch m_Signals;
+  const EntrySettings m_Settings;
+  const ProcessSettings &m_Process;
+  const EntryAddress m_Own;
+  const ChartFolder m_Charts;
+  ControlLoop m_Loop;
+  MetricsRegistry m_Metrics;
+  PlatformModule m_Platform;
+  HttpClientModule m_Client;
+  TransportModule m_Transport;
+  std::unique_ptr<ILinks> m_Links;
+  std::unique_ptr<IEntryRegistry> m_Registry;
+  std::unique_ptr<IConfigurationStore> m_Configuration;
+  ConfigurationRelay m_Relay;
+  std::unique_ptr<IApplyService> m_Apply;
+  std::unique_ptr<IJobService> m_Jobs;
+  std::unique_ptr<IRequestService> m_Requests;
+  ProcessLifecycle m_Lifecycle;
+  PeerSync m_PeerSync;
+  EntryContext m_Context;
+  CallerApi m_CallerApi;
+  OperatorApi m_OperatorApi;
+  HttpServer m_Http;
+  std::unique_ptr<ConfigurationWatch> m_Watch;
+  std::set<Incarnation> m_Agents;
+};
+
+EntryProgram::EntryProgram(const EntrySettings &Settings)
+    : m_Impl(std::make_unique<Impl>(Settings)) {}
+EntryProgram::~EntryProgram() = default;
+
+void EntryProgram::run() { m_Impl->run(); }
+
+} // namespace cyclamenwalk
--- /dev/null
+++ b/packages/entry/internal/jsoncodec.h
@@ -0,0 +1,34 @@
+#ifndef CYCLAMENWALK_ENTRY_INTERNAL_JSONCODEC_H
+#define CYCLAMENWALK_ENTRY_INTERNAL_JSONCODEC_H
+
+#include "http/types/httpmessage.h"
+#include "job/types/jobspec.h"
+#include "job/types/sitestatus.h"
+#include "request/types/submission.h"
+
+#include <string>
+
+namespace cyclamenwalk {
+
+/// Reads the body of POST /v1/jobs; throws Error with MalformedBody.
+Submission decodeSubmission(const std::string &Body,
+                            const std::string &IdempotencyKey);
+
+/// The response to a job that has ended.
+HttpResponse encodeAnswer(const JobAnswer &Whole);
+
+/// The inverse of encodeAnswer, for an answer fetched from another entry.
+JobAnswer decodeAnswer(JobId Id, const HttpResponse &Response);
+
+/// The response to a job that is still running.
+HttpResponse encodeRunning(JobId Id);
+
+HttpResponse encodeTicket(TicketId Id);
+
+/// Problem details (RFC 7807) with the numbered code and its outcome.
+HttpResponse encodeProblem(ResultCode Code, const std::string &Detail,
+                           const std::string &JobText = "");
+
+} // namespace cyclamenwalk
+
+#endif // CYCLAMENWALK_ENTRY_INTERNAL_JSONCODEC_H
--- /dev/null
+++ b/packages/entry/internal/peersync.h
@@ -0,0 +1,50 @@
+#ifndef CYCLAMENWALK_ENTRY_INTERNAL_PEERSYNC_H
+#define CYCLAMENWALK_ENTRY_INTERNAL_PEERSYNC_H
+
+#include "configuration/iconfigurationstore.h"
+#include "core/itimerservice.h"
+#include "http/ihttpclient.h"
+#include "membership/ientryregistry.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cyclamenwalk {
+
+/// Asks other entries for members and configuration while the store does not
+/// answer, so that a new process can start without it.
+class PeerSync {
+public:
+  struct Settings {
+    /// HTTP addresses from the settings file; members are asked as well.
+    std::vector<std::string> m_Peers;
+    std::string m_Token;
+    Duration m_Period = seconds(2);
+  };
+
+  PeerSync(Settings Wanted, EntryAddress Own, IHttpClient &Client,
+           IEntryRegistry &Registry, IConfigurationStore &Store,
+           ITimerService &Timers);
+  ~PeerSync();
+
+  void start();
+
+private:
+  void check();
+  void askPeer(const std::string &Address);
+  void receive(const HttpResponse &Response);
+
+  const Settings m_Settings;
+  const EntryAddress m_Own;
+  IHttpClient &m_Client;
+  IEntryRegistry &m_Registry;
+  IConfigurationStore &m_Store;
+  ITimerService &m_Timers;
+  TimerId m_Timer = 0;
+  std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
+};
+
+} // namespace cyclamenwalk
+
+#endif // CYCLAMENWALK_ENTRY_INTERNAL_PEERSYNC_H
--- /dev/null
+++ b/packages/entry/internal/policychoice.h
@@ -0,0 +1,14 @@
+#ifndef CYCLAMENWALK_ENTRY_INTERNAL_POLICYCHOICE_H
+#define CYCLAMENWALK_ENTRY_INTERNAL_POLICYCHOICE_H
+
+#include "policy/policymodule.h"
+#include "settings/processsettings.h"
+
+namespace cyclamenwalk {
+
+/// The hooks for the policies that the settings name.
+PolicyHooks choosePolicies(const EntrySettings &Settings);
+
+} // namespace cyclamenwalk
+
+#endif // CYCLAMENWALK_ENTRY_INTERNAL_POLICYCHOICE_H
--- a/packages/http/httpserver.h
+++ b/packages/http/httpserver.h
@@ -38,6 +38,9 @@
   /// Throws Error with ListenFailed when the address is not free.
   void start();
 
+  /// Handlers that are running now.
+  std::size_t running() const;
+
   /// From now on connections are closed after their response.
   void closeConnections();
 
--- a/packages/http/internal/httpserver.cpp
+++ b/packages/http/internal/httpserver.cpp
@@ -111,6 +111,11 @@
     m_IsStarted = true;
   }
 
+  std::size_t running() const {
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    return m_Running;
+  }
+
   void closeConnections() {
     std::lock_guard<std::mutex> Lock(m_Mutex);
     m_IsClosing = true;
@@ -170,7 +175,7 @@
   std::list<Route> m_Routes;
   Handler m_TooLarge;
   bool m_IsStarted = false;
-  std::mutex m_Mutex;
+  mutable std::mutex m_Mutex;
   std::condition_variable m_Idle;
   std::size_t m_Running = 0;
   bool m_IsClosing = false;
@@ -192,6 +197,7 @@
   m_Impl->onNotFound(std::move(Serve));
 }
 void HttpServer::start() { m_Impl->start(); }
+std::size_t HttpServer::running() const { return m_Impl->running(); }
 void HttpServer::closeConnections() { m_Impl->closeConnections(); }
 void HttpServer::stop(Duration Limit) { m_Impl->stop(Limit); }
 
--- /dev/null
+++ b/packages/rowcodec/tests/rowcodecs_test.cpp
@@ -0,0 +1,22 @@
+#include "rowcodec/rowcodecs.h"
+
+#include <gtest/gtest.h>
+
+using namespace cyclamenwalk;
+
+TEST(RowCodecs, roundTripAndRefuseOtherText) {
+  EntryRow Row{{"entry-1", Incarnation{5}, "a:1", "a:2", "d"}, 9};
+  auto Back = entryRowCodec().m_Decode(entryRowCodec().m_Encode(Row));
+  ASSERT_TRUE(Back);
+  EXPECT_EQ(Back->m_Address, Row.m_Address);
+  EXPECT_EQ(Back->m_Renewals, 9u);
+  EXPECT_FALSE(entryRowCodec().m_Decode("{\"name\":3}"));
+  EXPECT_FALSE(claimRowCodec().m_Decode("{\"job\":\"x\"}"));
+  EXPECT_FALSE(recordCodec().m_Decode("[]"));
+  ConfigurationRecord Record;
+  Record.m_Version = 3;
+  Record.m_Changes = {"a \"b\""};
+  EXPECT_EQ(recordCodec().m_Decode(recordCodec().m_Encode(Record))->m_Changes,
+            Record.m_Changes);
+  EXPECT_TRUE(decodeEntries("nonsense").empty());
+}
--- a/packages/slot/internal/slotservice.cpp
+++ b/packages/slot/internal/slotservice.cpp
@@ -128,6 +128,9 @@
 }
 
 void SlotService::sendStateToAll() {
+  bool HasEverServed = !m_Backend.m_Offer.m_Service.empty();
+  if (!HasEverServed)
+    return;
   for (Incarnation Entry : m_Entries)
     sendState(Entry);
 }
@@ -144,7 +147,7 @@
 void SlotService::entryUp(const Peer &Entry) {
   m_Entries.push_back(Entry.m_Incarnation);
   m_Credits.addEntry(Entry.m_Incarnation);
-  if (m_Backend.m_State != BackendPhase::Absent)
+  if (!m_Backend.m_Offer.m_Service.empty())
     sendState(Entry.m_Incarnation);
   // Idle slots are divided anew, so that the newcomer gets its part.
   std::uint32_t FairShare =
