--- a/packages/platform/internal/remoteplatform.cpp
+++ b/packages/platform/internal/remoteplatform.cpp
@@ -71,7 +71,7 @@
                                IHttpClient &Client, IMetrics &Metrics)
     : m_Settings(Settings), m_Client(Client), m_Metrics(Metrics) {}
 
-void RemotePlatform::call(std::string Method, std::string Path,
+void RemotePlatform::call(std::string Method, const std::string &Path,
                           std::string Body, IHttpClient::Done Done) {
   HttpRequest Request;
   Request.m_Method = std::move(Method);
--- a/packages/platform/internal/remoteplatform.h
+++ b/packages/platform/internal/remoteplatform.h
@@ -23,7 +23,7 @@
   void get(std::string Name, std::function<void(ObjectResult)> Done) override;
 
 private:
-  void call(std::string Method, std::string Path, std::string Body,
+  void call(std::string Method, const std::string &Path, std::string Body,
             IHttpClient::Done Done);
   void callRead(std::string Path, IHttpClient::Done Done);
   void callWrite(std::string Method, std::string Path, std::string Body,
--- a/packages/settings/internal/inireader.cpp
+++ b/packages/settings/internal/inireader.cpp
@@ -44,7 +44,7 @@
   auto Found = Units.find(Parts.m_Unit);
   if (Found == Units.end())
     return std::nullopt;
-  constexpr auto Highest = std::numeric_limits<std::int64_t>::max();
+  constexpr std::uint64_t Highest = INT64_MAX;
   if (Parts.m_Number > Highest / Found->second)
     return std::nullopt;
   return Parts.m_Number * Found->second;
--- /dev/null
+++ b/scripts/checkshape.py
@@ -0,0 +1,96 @@
+#!/usr/bin/env python3
+"""Checks that the code keeps the shape which docs/DESIGN.md describes."""
+import pathlib
+import re
+import subprocess
+import sys
+
+DECISIONS = ["core", "statechart", "message", "policy", "job", "request",
+             "slot", "membership", "configuration"]
+FORBIDDEN_HEADERS = re.compile(
+    r'#include [<"](msgpack|nng/|ulfius|nlohmann|ini\.h|pugixml|http/|'
+    r'protocol/|settings/|curl)')
+# The interpreter reads charts with an XML library; nothing else does.
+HEADER_EXCEPTIONS = {"packages/statechart/internal/chart.cpp"}
+RAW_TIME = re.compile(
+    r"\b(u?int(8|16|32|64)?(_t)?|std::u?int\d+_t|long|double|float|unsigned)"
+    r"\s+\w*(Ms|Millis|Milliseconds|Seconds|Secs|Nanos|Micros|Timeout|"
+    r"Deadline|Interval|Period|Delay)\b\s*[,)]")
+SLEEP = re.compile(r"sleep_for|sleep_until|usleep|nanosleep|this_thread::yield")
+MAX_TEST_SHARE = 1 / 3
+MAX_FILE_LINES = 560
+
+failures = []
+
+
+def tracked(*patterns):
+    out = subprocess.run(["git", "ls-files", "-co", "--exclude-standard", "--",
+                          *patterns], capture_output=True, text=True,
+                         check=True).stdout.split()
+    return [path for path in out if pathlib.Path(path).exists()]
+
+
+def lines(path):
+    return pathlib.Path(path).read_text(errors="replace").splitlines()
+
+
+def is_test(path):
+    return "/tests/" in path or path.startswith("tests/")
+
+
+def fail(path, number, text):
+    failures.append(f"{path}:{number}: {text}")
+
+
+def check_lines(paths, pattern, text, exceptions=()):
+    for path in paths:
+        if path in exceptions:
+            continue
+        for number, line in enumerate(lines(path), 1):
+            if pattern.search(line):
+                fail(path, number, text + ": " + line.strip())
+
+
+def check_charts():
+    """Every chart belongs to a package and is named in its code."""
+    code = "".join(pathlib.Path(p).read_text() for p in tracked("*.cpp"))
+    for chart in tracked("*.scxml"):
+        name = pathlib.Path(chart).stem
+        if f'chart("{name}")' not in code:
+            fail(chart, 1, "no code loads this chart")
+
+
+def check_installed():
+    text = "".join(pathlib.Path(p).read_text()
+                   for p in tracked("*CMakeLists.txt"))
+    targets = re.findall(r"install\(TARGETS ([^)]*?) RUNTIME", text)
+    if targets != ["cyclamenwalk cyclamenwalk-agent"]:
+        fail("CMakeLists.txt", 1, f"installed programs: {targets}")
+
+
+def check_test_share(sources):
+    tests = sum(len(lines(p)) for p in sources if is_test(p))
+    every = sum(len(lines(p)) for p in sources)
+    print(f"tests are {tests} of {every} lines ({tests / every:.0%})")
+    if tests > every * MAX_TEST_SHARE:
+        fail("tests", 1, "tests are more than a third of the code")
+
+
+sources = tracked("*.h", "*.cpp")
+product = [p for p in sources if p.startswith(("packages/", "apps/"))
+           and not is_test(p)]
+decisions = [p for p in product if p.split("/")[1] in DECISIONS]
+check_lines(decisions, FORBIDDEN_HEADERS, "a decision package includes",
+            HEADER_EXCEPTIONS)
+check_lines(product, RAW_TIME, "a number carries a time")
+check_lines(product, SLEEP, "a thread sleeps")
+check_charts()
+check_installed()
+check_test_share(sources)
+for path in sources:
+    if len(lines(path)) > MAX_FILE_LINES:
+        fail(path, 1, f"more than {MAX_FILE_LINES} lines")
+if failures:
+    print("\n".join(failures))
+    sys.exit(1)
+print("shape: ok")
