Prove the promises under failure: models, real processes, a checker

What failed first, and its cause: - A job right after the death of a backend server was lost too: idle credits of the dead one were still out. Ruled out: a late lease, which only bounds it. The agent now withdraws its credits when contact is lost, until the next announcement. Now an entry's own word goes before its row. Answers are now matched on task and credit, as the design says.

--- /dev/null
+++ b/models/check.sh
@@ -0,0 +1,60 @@
+#!/usr/bin/env bash
+# Searches each model exhaustively, then each of its mutants, which the search
+# must find at fault. Prints one line for each; fails if any differs.
+set -euo pipefail
+cd "$(dirname "$0")"
+WORK=$(mktemp -d)
+trap 'rm -rf "$WORK"' EXIT
+status=0
+
+# search MODEL [DEFINE...]: prints the number of states and of errors.
+search() {
+  local model=$1
+  shift
+  local dir
+  dir=$(mktemp -d -p "$WORK")
+  (
+    cd "$dir"
+    spin -a "${@/#/-D}" "$OLDPWD/$model.pml" >spin.log
+    gcc -O2 -DSAFETY -DCOLLAPSE -DMEMLIM=6000 -o pan pan.c 2>gcc.log
+    ./pan -E -n -m200000 >pan.log
+    sed -nE 's/ +([0-9.e+]+) states, stored.*/\1/p' pan.log
+    sed -nE 's/.*errors: ([0-9]+).*/\1/p' pan.log
+    grep -q 'max search depth too small' pan.log && echo incomplete || true
+  ) | tr '\n' ' '
+}
+
+# report WANTED MODEL [DEFINE...]: WANTED is "holds" or "broken".
+report() {
+  local wanted=$1
+  shift
+  local states errors rest verdict=WRONG
+  read -r states errors rest <<<"$(search "$@")"
+  if [ -z "$rest" ]; then
+    [ "$wanted" = holds ] && [ "$errors" = 0 ] && verdict=ok
+    [ "$wanted" = broken ] && [[ "$errors" =~ ^[1-9] ]] && verdict=ok
+  fi
+  [ "$verdict" = ok ] || status=1
+  echo "$* ($wanted): $states states, $errors errors $rest: $verdict"
+}
+
+mutants() {
+  grep -oE 'MUTANT_[A-Z_]+' "$1.pml" | sort -u
+}
+
+report holds start
+report holds start TWO_CREDITS
+report holds start TWO_TASKS
+for mutant in $(mutants start); do
+  # A refusal that is taken for another needs two credits of one agent.
+  bound=()
+  [ "$mutant" = MUTANT_REFUSAL_NOT_MATCHED ] && bound=(TWO_CREDITS)
+  report broken start "$mutant" "${bound[@]}"
+done
+for model in claim configuration drain; do
+  report holds "$model"
+  for mutant in $(mutants "$model"); do
+    report broken "$model" "$mutant"
+  done
+done
+exit $status
--- a/packages/entry/internal/operatorapi.cpp
+++ b/packages/entry/internal/operatorapi.cpp
@@ -235,7 +235,8 @@
   auto Members = decodeEntries(Request.m_Body);
   return ask(
       m_Entry.m_Control, ControlLimit, [this, Members](const Give &Reply) {
-        m_Entry.m_Registry.learn(Members);
+        for (const EntryAddress &Speaker : Members)
+          m_Entry.m_Registry.hear(Speaker);
         Json Body = Json::parse(encodeEntries(m_Entry.m_Registry.members()));
         Body["version"] = m_Entry.m_Configuration.version();
         Body["text"] = m_Entry.m_Configuration.text();
--- a/packages/job/internal/agenttable.h
+++ b/packages/job/internal/agenttable.h
@@ -9,12 +9,18 @@
 
 namespace cyclamenwalk {
 
+/// A task that was sent to an agent.
+struct SentTask {
+  CreditId m_Credit;
+  std::string m_Team;
+};
+
 /// An agent that this entry is linked to.
 struct LinkedAgent {
   Peer m_Peer;
   BackendState m_Backend;
-  /// Tasks sent there and not ended, with their teams.
-  std::map<TaskId, std::string> m_InFlight;
+  /// Tasks sent there and not ended.
+  std::map<TaskId, SentTask> m_InFlight;
 };
 
 /// The agents that this entry is linked to.
--- a/packages/job/internal/jobservice.cpp
+++ b/packages/job/internal/jobservice.cpp
@@ -264,7 +264,8 @@
   m_Budget->recordStart();
   m_Metrics.count(Metric::TasksSent);
   TaskId Id{Owner.m_Id, Index};
-  m_Agents.find(Spent.m_Agent)->m_InFlight.emplace(Id, Owner.m_Spec.m_Team);
+  m_Agents.find(Spent.m_Agent)
+      ->m_InFlight.emplace(Id, SentTask{Spent.m_Credit, Owner.m_Spec.m_Team});
   Start Body;
   Body.m_Task = Id;
   Body.m_Credit = Spent.m_Credit;
@@ -325,7 +326,7 @@
   dispatcher(Service).removeAgent(Agent.m_Incarnation);
   for (const auto &Lost : Gone.m_InFlight) {
     m_Metrics.count(Metric::TasksUnknown);
-    releaseQuota(Service, Lost.second);
+    releaseQuota(Service, Lost.second.m_Team);
     Job *Owner = m_Jobs.find(Lost.first.m_Job);
     if (!Owner)
       continue;
@@ -371,14 +372,17 @@
     m_Health->add(Agent, State.m_Service);
 }
 
-/// The task if it is one that this agent was sent and has not ended.
-Task *JobService::takeLanded(LinkedAgent &From, TaskId Id) {
+/// The task if this agent was sent it against this credit and it has not
+/// ended.
+Task *JobService::takeLanded(LinkedAgent &From, TaskId Id, CreditId Credit) {
   auto InFlight = From.m_InFlight.find(Id);
-  if (InFlight == From.m_InFlight.end()) {
+  bool IsExpected =
+      InFlight != From.m_InFlight.end() && InFlight->second.m_Credit == Credit;
+  if (!IsExpected) {
     m_Metrics.count(Metric::LateResults);
     return nullptr;
   }
-  std::string Team = InFlight->second;
+  std::string Team = InFlight->second.m_Team;
   From.m_InFlight.erase(InFlight);
   const std::string &Service = From.m_Backend.m_Service;
   dispatcher(Service).ledger().taskEnded(From.m_Peer.m_Incarnation);
@@ -392,7 +396,7 @@
 void JobService::receiveDone(LinkedAgent &From, TaskDone &Done) {
   Dispatcher &Owner = dispatcher(From.m_Backend.m_Service);
   Owner.addCredits(From.m_Peer.m_Incarnation, Done.m_Credits);
-  if (Task *Ended = takeLanded(From, Done.m_Task)) {
+  if (Task *Ended = takeLanded(From, Done.m_Task, Done.m_Credit)) {
     Job &Known = *Ended->m_Job;
     learn(From, Known, Done);
     if (Known.m_State == JobState::Running)
@@ -427,7 +431,7 @@
                                 const StartRefused &Refusal) {
   m_Metrics.count(Metric::TasksRefused);
   const std::string &Service = From.m_Backend.m_Service;
-  if (Task *Refused = takeLanded(From, Refusal.m_Task)) {
+  if (Task *Refused = takeLanded(From, Refusal.m_Task, Refusal.m_Credit)) {
     fireTask(*Refused, TaskEvent::Refused);
     if (Refused->m_State == TaskState::Refused)
       releaseQuota(Service, Refused->m_Job->m_Spec.m_Team);
--- a/packages/job/internal/jobservice.h
+++ b/packages/job/internal/jobservice.h
@@ -46,7 +46,7 @@
   void receiveState(LinkedAgent &From, const BackendState &State);
   void receiveDone(LinkedAgent &From, TaskDone &Done);
   void receiveRefusal(LinkedAgent &From, const StartRefused &Refusal);
-  Task *takeLanded(LinkedAgent &From, TaskId Id);
+  Task *takeLanded(LinkedAgent &From, TaskId Id, CreditId Credit);
   void learn(const LinkedAgent &From, Job &Owner, const TaskDone &Done);
   void fireTask(Task &Changed, TaskEvent What);
   void fireJob(Job &Changed, JobEvent What);
--- a/packages/job/tests/jobservice_test.cpp
+++ b/packages/job/tests/jobservice_test.cpp
@@ -84,6 +84,20 @@
   EXPECT_EQ(Cell.starts(TaskId{Id, 0}), 1);
 }
 
+// An answer is matched on request, task and credit.
+TEST(JobService, refusalOfAnEarlierStartIsDropped) {
+  CellFake Cell(1, 1, 1);
+  JobId Id = Cell.submit(0, CellFake::spec(1));
+  Cell.deliver();
+  Message Stale =
+      StartRefused{TaskId{Id, 0}, CreditId{99}, ResultCode::CreditUnknown};
+  Cell.entry(0).m_Jobs->receive(Cell.agent(0).m_Own, Stale);
+  EXPECT_EQ(Cell.entry(0).m_Metrics.of(Metric::LateResults), 1u);
+  Cell.finishAll();
+  EXPECT_EQ(lastCode(Cell), ResultCode::Ok);
+  EXPECT_EQ(Cell.starts(TaskId{Id, 0}), 1);
+}
+
 TEST(JobService, deadlineTellsWhetherAnythingRan) {
   CellFake Cell(1, 1, 1);
   JobSpec Short = CellFake::spec(1);
@@ -105,7 +119,8 @@
   EXPECT_EQ(lastCode(Cell), ResultCode::CancelledWhileRunning);
   Cell.finishAll();
   EXPECT_EQ(Cell.m_Answers.size(), 1u);
-  Message Stray = TaskDone{TaskId{Id, 1}, ResultCode::Ok, "x", {}, {}};
+  Message Stray =
+      TaskDone{TaskId{Id, 1}, CreditId{1}, ResultCode::Ok, "x", {}, {}};
   Cell.entry(0).m_Jobs->receive(Cell.agent(0).m_Own, Stray);
   EXPECT_EQ(Cell.entry(0).m_Metrics.of(Metric::LateResults), 1u);
   EXPECT_FALSE(Cell.entry(0).m_Jobs->cancel(Id));
@@ -116,7 +131,8 @@
   JobId Id = Cell.submit(0, CellFake::spec(1));
   Cell.deliver();
   std::size_t Owner = Cell.agent(0).m_Executor.m_Running.empty() ? 1 : 0;
-  Message Crossed = TaskDone{TaskId{Id, 0}, ResultCode::Ok, "wrong", {}, {}};
+  Message Crossed =
+      TaskDone{TaskId{Id, 0}, CreditId{1}, ResultCode::Ok, "wrong", {}, {}};
   Cell.entry(0).m_Jobs->receive(Cell.agent(1 - Owner).m_Own, Crossed);
   EXPECT_TRUE(Cell.m_Answers.empty());
   Cell.finishAll();
--- a/packages/membership/ientryregistry.h
+++ b/packages/membership/ientryregistry.h
@@ -20,7 +20,11 @@
   /// Deletes the own row, so that agents are told to go elsewhere.
   virtual void leave() = 0;
 
-  /// Adds members that a peer named, for when the store is down.
+  /// An entry has said itself where it is, which goes before its row.
+  virtual void hear(const EntryAddress &Speaker) = 0;
+
+  /// Adds members that a peer named, for when the store is down. What is known
+  /// and has not lapsed goes before it.
   virtual void learn(const std::vector<EntryAddress> &Members) = 0;
 
   /// All members with this one, in ascending order of incarnation.
--- a/packages/membership/internal/entryregistry.cpp
+++ b/packages/membership/internal/entryregistry.cpp
@@ -109,31 +109,49 @@
 }
 
 void EntryRegistry::deleteLapsed() {
+  auto IsOver = [this](const Watched &Known) {
+    return m_Timers.now() - Known.m_MovedAt >= m_Settings.m_DeleteAfter;
+  };
   for (const auto &Known : m_Others) {
-    const Watched &Other = Known.second;
-    Duration Still = m_Timers.now() - Other.m_MovedAt;
-    if (Other.m_Version == 0 || Still < m_Settings.m_DeleteAfter)
+    if (!IsOver(Known.second) || Known.second.m_Version == 0)
       continue;
     RowKey Key{EntriesTable, Known.first};
-    m_Tables.transact({{{Key, Other.m_Version}}, {{Key, std::nullopt}}},
+    m_Tables.transact({{{Key, Known.second.m_Version}}, {{Key, std::nullopt}}},
                       [](const TransactionResult &) {});
   }
+  std::erase_if(m_Others, [&](const auto &Known) {
+    return IsOver(Known.second) && Known.second.m_Version == 0;
+  });
+}
+
+void EntryRegistry::hear(const EntryAddress &Speaker) {
+  takeWord(Speaker);
+  announceChange();
 }
 
 void EntryRegistry::learn(const std::vector<EntryAddress> &Members) {
   for (const EntryAddress &Member : Members) {
-    if (Member.m_Name == m_Own.m_Row.m_Address.m_Name)
-      continue;
-    Watched &Known = m_Others[Member.m_Name];
-    // What the store says goes before hearsay.
-    if (Known.m_Version != 0)
-      continue;
-    Known.m_Row.m_Address = Member;
-    Known.m_MovedAt = m_Timers.now();
+    auto Found = m_Others.find(Member.m_Name);
+    if (Found == m_Others.end() || hasLapsed(Found->second))
+      takeWord(Member);
   }
   announceChange();
 }
 
+void EntryRegistry::takeWord(const EntryAddress &Member) {
+  if (Member.m_Name == m_Own.m_Row.m_Address.m_Name)
+    return;
+  Watched &Known = m_Others[Member.m_Name];
+  if (Known.m_Row.m_Address != Member)
+    Known.m_Version = 0;
+  Known.m_Row.m_Address = Member;
+  Known.m_MovedAt = m_Timers.now();
+}
+
+bool EntryRegistry::hasLapsed(const Watched &Known) const {
+  return m_Timers.now() - Known.m_MovedAt >= m_Settings.m_Lapse;
+}
+
 std::vector<EntryAddress> EntryRegistry::members() const {
   std::vector<EntryAddress> Members;
   bool IsIn = m_Own.m_State != RegistrationState::Leaving &&
@@ -141,7 +159,7 @@
   if (IsIn)
     Members.push_back(m_Own.m_Row.m_Address);
   for (const auto &Known : m_Others)
-    if (m_Timers.now() - Known.second.m_MovedAt < m_Settings.m_Lapse)
+    if (!hasLapsed(Known.second))
       Members.push_back(Known.second.m_Row.m_Address);
   std::sort(Members.begin(), Members.end(),
             [](const EntryAddress &Left, const EntryAddress &Right) {
--- a/packages/membership/internal/entryregistry.h
+++ b/packages/membership/internal/entryregistry.h
@@ -38,6 +38,7 @@
 
   void start(Changed Hook) override;
   void leave() override;
+  void hear(const EntryAddress &Speaker) override;
   void learn(const std::vector<EntryAddress> &Members) override;
   std::vector<EntryAddress> members() const override;
   bool isStoreAnswering() const override;
@@ -59,6 +60,8 @@
   void watch(const KeyedRow &Found);
   void forgetMissing(const std::vector<KeyedRow> &Rows);
   void deleteLapsed();
+  void takeWord(const EntryAddress &Member);
+  bool hasLapsed(const Watched &Known) const;
   void announceChange();
 
   const RegistrySettings m_Settings;
--- a/packages/membership/tests/registry_test.cpp
+++ b/packages/membership/tests/registry_test.cpp
@@ -101,6 +101,25 @@
   EXPECT_TRUE(First->isStoreAnswering());
 }
 
+// An entry that is replaced during an outage has a row of its predecessor.
+TEST_F(RegistryTest, replacedEntryIsHeardDuringAnOutage) {
+  auto First = make("entry-1", 1);
+  auto Second = make("entry-2", 2);
+  advance(seconds(3));
+  m_Platform.m_Fault = PlatformFake::Fault::Down;
+  Second.reset();
+  First->hear(address("entry-2", 3));
+  ASSERT_EQ(First->members().size(), 2u);
+  EXPECT_EQ(First->members()[1].m_Incarnation, Incarnation{3});
+  // What another entry says is older than what the entry itself said.
+  First->learn({address("entry-2", 2)});
+  EXPECT_EQ(First->members()[1].m_Incarnation, Incarnation{3});
+  advance(seconds(11));
+  EXPECT_EQ(First->members().size(), 1u);
+  First->learn({address("entry-2", 4)});
+  EXPECT_EQ(First->members().size(), 2u);
+}
+
 TEST(EntrySelection, linksToASubsetAndMovesFewLinksOnChange) {
   ManualTimerService Timers;
   std::vector<EntryAddress> Entries;
--- a/packages/message/types/messages.h
+++ b/packages/message/types/messages.h
@@ -83,12 +83,14 @@
 /// Agent to entry: the task did not start, and will not.
 struct StartRefused {
   TaskId m_Task;
+  CreditId m_Credit;
   ResultCode m_Code = ResultCode::CreditUnknown;
 };
 
 /// Agent to entry: the task has ended.
 struct TaskDone {
   TaskId m_Task;
+  CreditId m_Credit;
   ResultCode m_Code = ResultCode::Ok;
   std::string m_Answer;
   Duration m_RunTime{};
--- a/packages/protocol/internal/fields.h
+++ b/packages/protocol/internal/fields.h
@@ -34,10 +34,10 @@
       M.m_Payload, M.m_Remaining, M.m_IsLong, M.m_Waiting);
 }
 template <typename Call> void fields(StartRefused &M, Call &&All) {
-  All(M.m_Task, M.m_Code);
+  All(M.m_Task, M.m_Credit, M.m_Code);
 }
 template <typename Call> void fields(TaskDone &M, Call &&All) {
-  All(M.m_Task, M.m_Code, M.m_Answer, M.m_RunTime, M.m_Credits);
+  All(M.m_Task, M.m_Credit, M.m_Code, M.m_Answer, M.m_RunTime, M.m_Credits);
 }
 template <typename Call> void fields(StopJob &M, Call &&All) { All(M.m_Job); }
 template <typename Call> void fields(EntryAddress &M, Call &&All) {
--- a/packages/slot/internal/lifecycles.h
+++ b/packages/slot/internal/lifecycles.h
@@ -8,16 +8,16 @@
 
 namespace cyclamenwalk {
 
-enum class BackendPhase { Absent, Serving, Leaving };
-enum class BackendEvent { Announced, Leave, Lapsed };
+enum class BackendPhase { Absent, Serving, Doubtful, Leaving };
+enum class BackendEvent { Announced, Leave, ContactLost, Lapsed };
 
 template <> struct ChartNames<BackendPhase> {
-  static constexpr std::array<std::string_view, 3> Values{"absent", "serving",
-                                                          "leaving"};
+  static constexpr std::array<std::string_view, 4> Values{
+      "absent", "serving", "doubtful", "leaving"};
 };
 template <> struct ChartNames<BackendEvent> {
-  static constexpr std::array<std::string_view, 3> Values{"announced", "leave",
-                                                          "lapsed"};
+  static constexpr std::array<std::string_view, 4> Values{
+      "announced", "leave", "contact_lost", "lapsed"};
 };
 
 /// The backend server beside this agent.
@@ -67,6 +67,7 @@
 struct Execution {
   ExecutionState m_State = ExecutionState::Running;
   TaskId m_Task;
+  CreditId m_Credit;
   Incarnation m_Entry;
   std::string m_Address;
   bool m_IsLong = false;
--- a/packages/slot/internal/slotservice.cpp
+++ b/packages/slot/internal/slotservice.cpp
@@ -45,6 +45,7 @@
   return BackendChart(Charts.chart("backend"), {{"isSameRun", IsSameRun}},
                       {{"open", [this](Backend &) { open(); }},
                        {"renew", [this](Backend &) { renewLease(); }},
+                       {"reopen", [this](Backend &) { reopen(); }},
                        {"loseRunning", [this](Backend &) { loseRunning(); }},
                        {"withdrawAll", [this](Backend &) {
                           m_Credits.withdrawAll();
@@ -60,7 +61,7 @@
       Charts.chart("credit"), {{"isRefused", IsRefused}},
       {{"refuse",
         [this](IssuedCredit &C) {
-          refuse(C.m_Entry, C.m_Start->m_Task, refusalOf(C));
+          refuse(C.m_Entry, *C.m_Start, refusalOf(C));
         }},
        {"startTask", [this](IssuedCredit &C) { startTask(C); }}});
 }
@@ -103,6 +104,11 @@
            {{"service", m_Backend.m_Offer.m_Service},
             {"address", m_Backend.m_Offer.m_Address},
             {"slots", m_Backend.m_Offer.m_Slots}});
+  reopen();
+}
+
+/// The backend server has shown that it is there after all.
+void SlotService::reopen() {
   renewLease();
   sendStateToAll();
   distributeIdle();
@@ -178,7 +184,7 @@
     return;
   IssuedCredit *Known = m_Credits.find(Entry, Body.m_Credit);
   if (!Known) {
-    refuse(Entry, Body.m_Task, ResultCode::CreditUnknown);
+    refuse(Entry, Body, ResultCode::CreditUnknown);
     return;
   }
   Known->m_Start = &Body;
@@ -200,9 +206,10 @@
   return ResultCode::Ok;
 }
 
-void SlotService::refuse(Incarnation Entry, TaskId Task, ResultCode Code) {
+void SlotService::refuse(Incarnation Entry, const Start &Sent,
+                         ResultCode Code) {
   m_Metrics.count(Metric::StartsRefused);
-  m_Links.send(Entry, StartRefused{Task, Code});
+  m_Links.send(Entry, StartRefused{Sent.m_Task, Sent.m_Credit, Code});
 }
 
 void SlotService::startTask(IssuedCredit &Known) {
@@ -210,6 +217,7 @@
   auto Started = std::make_shared<Execution>();
   Started->m_State = m_ExecutionChart.initial();
   Started->m_Task = Body.m_Task;
+  Started->m_Credit = Known.m_Id;
   Started->m_Entry = Known.m_Entry;
   Started->m_Address = m_Backend.m_Offer.m_Address;
   Started->m_IsLong = Body.m_IsLong;
@@ -246,11 +254,19 @@
                        auto Alive = Weak.lock();
                        if (!Alive)
                          return;
-                       Alive->m_Result = std::move(Result);
-                       fire(Alive, ExecutionEvent::Done);
+                       finish(Alive, std::move(Result));
                      });
 }
 
+void SlotService::finish(const ExecutionPointer &Ended,
+                         ExecutionResult Result) {
+  // No credit goes out before the backend server has announced itself again.
+  if (Result.m_Code == ResultCode::BackendLost)
+    m_BackendChart.fire(m_Backend, BackendEvent::ContactLost);
+  Ended->m_Result = std::move(Result);
+  fire(Ended, ExecutionEvent::Done);
+}
+
 void SlotService::fire(const ExecutionPointer &Known, ExecutionEvent What) {
   m_ExecutionChart.fire(*Known, What);
 }
@@ -265,6 +281,7 @@
   m_Timers.cancel(Ended.m_LostTimer);
   TaskDone Done;
   Done.m_Task = Ended.m_Task;
+  Done.m_Credit = Ended.m_Credit;
   Done.m_Code = Ended.m_Result.m_Code;
   Done.m_Answer = std::move(Ended.m_Result.m_Answer);
   Done.m_RunTime = m_Timers.now() - Ended.m_StartedAt;
--- a/packages/slot/internal/slotservice.h
+++ b/packages/slot/internal/slotservice.h
@@ -34,6 +34,7 @@
   ExecutionChart bindExecution(const IChartSource &Charts);
 
   void open();
+  void reopen();
   void renewLease();
   void sendState(Incarnation Entry);
   void sendStateToAll();
@@ -42,10 +43,11 @@
   void receiveDemand(Incarnation Entry, std::uint32_t Waiting);
   void receiveStop(JobId Job);
   ResultCode refusalOf(const IssuedCredit &Known) const;
-  void refuse(Incarnation Entry, TaskId Task, ResultCode Code);
+  void refuse(Incarnation Entry, const Start &Sent, ResultCode Code);
   void startTask(IssuedCredit &Known);
   void executeTask(const ExecutionPointer &Started, Start &Body);
   void subscribeTimers(const ExecutionPointer &Started, Duration Remaining);
+  void finish(const ExecutionPointer &Ended, ExecutionResult Result);
   void fire(const ExecutionPointer &Known, ExecutionEvent What);
   void report(Execution &Ended);
   void loseRunning();
--- a/packages/slot/tests/slotservice_test.cpp
+++ b/packages/slot/tests/slotservice_test.cpp
@@ -168,15 +168,29 @@
 TEST_F(SlotServiceTest, backendThatStopsAnnouncingItselfGetsNoMoreWork) {
   link(EntryA);
   serve(4);
-  m_Timers.advance(seconds(4));
+  m_Timers.advance(seconds(2));
   serve(4);
-  m_Timers.advance(seconds(4));
-  EXPECT_TRUE(m_Slots.isServing());
   m_Timers.advance(seconds(2));
+  EXPECT_TRUE(m_Slots.isServing());
+  m_Timers.advance(seconds(1));
   EXPECT_FALSE(m_Slots.isServing());
   EXPECT_EQ(m_Slots.creditsOut(), 0u);
 }
 
+// Otherwise idle credits of a dead backend server would each cost a job.
+TEST_F(SlotServiceTest, lostContactHoldsCreditsBackUntilTheNextAnnouncement) {
+  link(EntryA);
+  serve(4);
+  TaskId Task = start(EntryA, m_Granted[EntryA][0].m_Id);
+  m_Executor.finish(Task, ResultCode::BackendLost);
+  EXPECT_EQ(m_Withdrawn[EntryA], 3u);
+  EXPECT_TRUE(m_State.m_IsLeaving);
+  EXPECT_EQ(m_Slots.creditsOut(), 0u);
+  serve(4);
+  EXPECT_EQ(m_Slots.creditsOut(), 4u);
+  EXPECT_FALSE(m_State.m_IsLeaving);
+}
+
 TEST_F(SlotServiceTest, replacedBackendLosesWhatRan) {
   link(EntryA);
   serve(1);
--- a/packages/slot/types/execution.h
+++ b/packages/slot/types/execution.h
@@ -51,7 +51,7 @@
 
 struct SlotSettings {
   /// The backend server has to announce itself within this time.
-  Duration m_BackendLease = seconds(5);
+  Duration m_BackendLease = seconds(3);
   /// How long an idle credit stays with an entry that does not need it while
   /// another does.
   Duration m_MinCreditAge = milliseconds(20);
--- a/standins/backend/backendstandin.cpp
+++ b/standins/backend/backendstandin.cpp
@@ -46,8 +46,8 @@
       {"service", m_Options.m_Service},
       {"address", m_Options.m_Listen},
       {"run", m_Run},
-      {"slots", m_Options.m_Slots},
-      {"connections", 64},
+      {"slots", m_Options.m_AnnouncedSlots},
+      {"connections", m_Options.m_AnnouncedSlots},
       {"cpus", 64},
       {"memory_mb",
        262144}}.dump();
@@ -80,6 +80,7 @@
   if (Payload.contains("run_ms"))
     Read.m_RunTime = milliseconds(Payload.at("run_ms").get<std::uint32_t>());
   Read.m_Fails = Payload.value("fail", Read.m_Fails);
+  Read.m_Reference = Payload.value("ref", "-");
   return Read;
 }
 
@@ -88,6 +89,21 @@
   return m_Random() % 100 < m_Options.m_FailPercent;
 }
 
+/// Waits for one of the slots, first come, first served.
+void BackendStandin::takeSlot() {
+  std::unique_lock<std::mutex> Lock(m_Mutex);
+  std::uint64_t Mine = m_NextTicket++;
+  m_Changed.wait(Lock, [&] {
+    return m_IsShutDown || Mine < m_Served + m_Options.m_Slots;
+  });
+}
+
+void BackendStandin::leaveSlot() {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  ++m_Served;
+  m_Changed.notify_all();
+}
+
 /// False when the task was stopped.
 bool BackendStandin::waitFor(const Work &Running) {
   Duration Span = m_Options.m_IsSilent ? SilentFor : Running.m_RunTime;
@@ -106,16 +122,19 @@
   } catch (const Json::exception &) {
     return respond(HttpBadRequest, {{"error", "malformed"}});
   }
-  m_Log.noteStart(Running.m_Task);
-  if (!waitFor(Running)) {
-    m_Log.noteEnd(Running.m_Task, "stopped");
+  takeSlot();
+  m_Log.noteStart(Running.m_Task, Running.m_Reference);
+  bool IsWhole = waitFor(Running);
+  leaveSlot();
+  if (!IsWhole) {
+    m_Log.noteEnd(Running.m_Task, Running.m_Reference, "stopped");
     return respond(HttpUnprocessable, {{"error", "stopped"}});
   }
   if (Running.m_Fails) {
-    m_Log.noteEnd(Running.m_Task, "failed");
+    m_Log.noteEnd(Running.m_Task, Running.m_Reference, "failed");
     return respond(HttpUnprocessable, {{"error", "failed"}});
   }
-  m_Log.noteEnd(Running.m_Task, "done");
+  m_Log.noteEnd(Running.m_Task, Running.m_Reference, "done");
   // The answer names its task, so that a checker can tell a crossed one.
   return respond(
       200,
--- a/standins/backend/backendstandin.h
+++ b/standins/backend/backendstandin.h
@@ -19,6 +19,8 @@
   std::string m_Agent;
   std::string m_Service;
   std::uint32_t m_Slots = 8;
+  /// Slots that it announces; more than it has make its own queue.
+  std::uint32_t m_AnnouncedSlots = 8;
   /// Run time of a task whose payload states none.
   Duration m_RunTime = milliseconds(50);
   /// Share of tasks that fail, percent.
@@ -46,6 +48,8 @@
 private:
   struct Work {
     std::string m_Task;
+    /// What the caller calls its request, from the payload.
+    std::string m_Reference = "-";
     std::string m_Payload;
     Duration m_RunTime{};
     bool m_Fails = false;
@@ -55,6 +59,8 @@
   HttpResponse stop(const HttpRequest &Request);
   Work readWork(const std::string &Body);
   bool failsByChance();
+  void takeSlot();
+  void leaveSlot();
   bool waitFor(const Work &Running);
 
   const BackendOptions m_Options;
@@ -63,6 +69,9 @@
   std::mutex m_Mutex;
   std::condition_variable m_Changed;
   std::set<std::string> m_Stopped;
+  /// Tickets of the queue: the slots go out in the order of arrival.
+  std::uint64_t m_NextTicket = 0;
+  std::uint64_t m_Served = 0;
   bool m_IsShutDown = false;
   std::mt19937 m_Random{1};
 };
--- a/standins/backend/main.cpp
+++ b/standins/backend/main.cpp
@@ -19,9 +19,11 @@
       "agent", po::value<std::string>()->required(),
       "IP:PORT of the agent's HTTP interface")(
       "service", po::value<std::string>()->required(), "name of the service")(
-      "slots", po::value<std::uint32_t>()->default_value(8),
-      "tasks at once")("run-ms", po::value<std::uint32_t>()->default_value(50),
-                       "run time of a task")(
+      "slots", po::value<std::uint32_t>()->default_value(8), "tasks at once")(
+      "announce-slots", po::value<std::uint32_t>()->default_value(0),
+      "slots to announce; 0 for those it has")(
+      "run-ms", po::value<std::uint32_t>()->default_value(50),
+      "run time of a task")(
       "fail-percent", po::value<std::uint32_t>()->default_value(0),
       "share of tasks that fail")("silent", po::bool_switch(), "never answer")(
       "log", po::value<std::string>()->default_value(""),
@@ -39,6 +41,8 @@
   Options.m_Agent = Values["agent"].as<std::string>();
   Options.m_Service = Values["service"].as<std::string>();
   Options.m_Slots = Values["slots"].as<std::uint32_t>();
+  std::uint32_t Announced = Values["announce-slots"].as<std::uint32_t>();
+  Options.m_AnnouncedSlots = Announced == 0 ? Options.m_Slots : Announced;
   Options.m_RunTime = milliseconds(Values["run-ms"].as<std::uint32_t>());
   Options.m_FailPercent = Values["fail-percent"].as<std::uint32_t>();
   Options.m_IsSilent = Values["silent"].as<bool>();
--- a/standins/backend/runlog.h
+++ b/standins/backend/runlog.h
@@ -14,13 +14,16 @@
   /// Lines go to \p File, or nowhere when it is empty.
   RunLog(const std::string &File, std::string Run);
 
-  void noteStart(const std::string &Task);
-  void noteEnd(const std::string &Task, const std::string &How);
+  /// \p Reference is what the caller called its request, or "-".
+  void noteStart(const std::string &Task, const std::string &Reference);
+  void noteEnd(const std::string &Task, const std::string &Reference,
+               const std::string &How);
 
   std::uint64_t starts() const { return m_Starts; }
 
 private:
-  void write(const std::string &What, const std::string &Task);
+  void write(const std::string &What, const std::string &Task,
+             const std::string &Reference);
 
   std::mutex m_Mutex;
   std::ofstream m_Stream;
