--- a/packages/configuration/internal/applyservice.cpp
+++ b/packages/configuration/internal/applyservice.cpp
@@ -34,9 +34,9 @@
   return Running.m_Head.m_Version != Running.m_Proposed.m_PreviousVersion;
 }
 
-bool isBaseCurrent(const ApplyContext &Running) {
+bool isBaseStale(const ApplyContext &Running) {
   const auto &Base = Running.m_Request.m_BaseVersion;
-  return !Base || *Base == Running.m_Head.m_Version;
+  return Base && *Base != Running.m_Head.m_Version;
 }
 
 } // namespace
@@ -61,12 +61,17 @@
   return Chart(
       Charts.chart("apply"),
       {{"isOwnRecord", isOwnRecord},
-       {"isBaseCurrent", isBaseCurrent},
+       {"isBaseStale", isBaseStale},
+       {"isStoreBehind",
+        [this](const ApplyContext &C) {
+          return C.m_Head.m_Version > m_Store.version();
+        }},
        {"isLost", isLost},
        {"mayReadAgain",
         [](const ApplyContext &C) { return C.m_ReadBacks < MaxReadBacks; }}},
       {{"putText", Call(&ApplyService::putText)},
        {"readHead", Call(&ApplyService::readHead)},
+       {"readBase", Call(&ApplyService::readBase)},
        {"swapHead", Call(&ApplyService::swapHead)},
        {"readBack", Call(&ApplyService::readBack)},
        {"readBackLater", Call(&ApplyService::readBackLater)},
@@ -139,6 +144,20 @@
   });
 }
 
+/// The changes are listed against what is replaced, so it has to be here.
+void ApplyService::readBase(ApplyContext &Running) {
+  Pointer Self = Running.shared_from_this();
+  m_Objects.get(textObject(Running.m_Head.m_Digest),
+                [this, Self](const ObjectResult &Found) {
+                  if (!Found.m_Bytes) {
+                    fire(Self, ApplyEvent::Unavailable);
+                    return;
+                  }
+                  m_Store.offer(Self->m_Head.m_Version, *Found.m_Bytes);
+                  fire(Self, ApplyEvent::Ok);
+                });
+}
+
 void ApplyService::swapHead(ApplyContext &Running) {
   const ApplyRequest &Request = Running.m_Request;
   ConfigurationRecord &Proposed = Running.m_Proposed;
--- a/packages/configuration/internal/applyservice.h
+++ b/packages/configuration/internal/applyservice.h
@@ -12,6 +12,7 @@
   Proposed,
   Storing,
   ReadingHead,
+  ReadingBase,
   Swapping,
   ReadingBack,
   Accepted,
@@ -21,8 +22,8 @@
 enum class ApplyEvent { Begin, Ok, Conflict, Unavailable, Found, Missing };
 
 template <> struct ChartNames<ApplyState> {
-  static constexpr std::array<std::string_view, 8> Values{
-      "proposed",     "storing",  "reading_head", "swapping",
+  static constexpr std::array<std::string_view, 9> Values{
+      "proposed",     "storing",  "reading_head", "reading_base", "swapping",
       "reading_back", "accepted", "refused",      "unconfirmed"};
 };
 template <> struct ChartNames<ApplyEvent> {
@@ -63,6 +64,7 @@
   void putText(ApplyContext &Running);
   void readHead(ApplyContext &Running);
   void readHeadRow(const Pointer &Running);
+  void readBase(ApplyContext &Running);
   void swapHead(ApplyContext &Running);
   void readBack(ApplyContext &Running);
   void readBackLater(ApplyContext &Running);
--- a/packages/configuration/tests/configuration_test.cpp
+++ b/packages/configuration/tests/configuration_test.cpp
@@ -156,6 +156,19 @@
   EXPECT_EQ(auditRows(), 0u);
 }
 
+// The entry that applies may not have heard of the version it replaces.
+TEST_F(ConfigurationTest, changesAreListedAgainstTheVersionThatIsReplaced) {
+  m_First.apply("x", "a");
+  m_Platform.answerAll();
+  EXPECT_EQ(m_Second.m_Store->version(), 0u);
+  m_Second.apply("x y", "b");
+  m_Platform.answerAll();
+  ASSERT_EQ(m_Second.m_Results.size(), 1u);
+  for (const std::string &Line : m_Second.m_Results[0].m_Record.m_Changes)
+    EXPECT_EQ(Line.rfind("+ service y ", 0), 0u) << Line;
+  EXPECT_FALSE(m_Second.m_Results[0].m_Record.m_Changes.empty());
+}
+
 TEST_F(ConfigurationTest, versionNeverGoesBack) {
   IConfigurationStore &Store = *m_First.m_Store;
   EXPECT_TRUE(Store.offer(5, "x"));
--- a/packages/job/internal/jobservice.cpp
+++ b/packages/job/internal/jobservice.cpp
@@ -8,13 +8,6 @@
 
 namespace {
 
-constexpr double BoundQuantile = 0.9;
-/// Run time assumed for a kind of which nothing is known.
-constexpr Duration AssumedTaskTime = milliseconds(200);
-/// Declared run times count for the order of jobs only within these bounds.
-constexpr Duration ShortestDeclared = milliseconds(10);
-constexpr Duration LongestDeclared = seconds(5);
-
 bool hasRun(const Job &Known) {
   return Known.m_InFlight > 0 || Known.m_Ran > 0;
 }
@@ -66,7 +59,9 @@
       m_JobChart(bindJob(Needs.m_Charts)), m_RunTimes(makeRunTimes()),
       m_Health(makeWorkerHealth(m_Hooks.m_FailureTest, Needs.m_Charts, m_Timers,
                                 m_Metrics)),
-      m_Budget(makeRetryBudget()), m_Jobs(Settings.m_MaxAnswerBytes) {
+      m_Budget(makeRetryBudget()), m_Jobs(Settings.m_MaxAnswerBytes),
+      m_Admission(m_Hooks.m_Admission, m_Share, m_Configuration, m_Agents,
+                  *m_RunTimes) {
   m_Health->onLimitChanged([this](Incarnation Worker, std::uint32_t Limit) {
     if (LinkedAgent *Known = m_Agents.find(Worker)) {
       Dispatcher &Owner = dispatcher(Known->m_Backend.m_Service);
@@ -122,8 +117,12 @@
 JobId JobService::reserve() { return JobId{m_Own, ++m_LastSequence}; }
 
 ResultCode JobService::precheck(const JobSpec &Spec) {
-  ResultCode Code = check(Spec);
-  return Code == ResultCode::Ok ? admit(Spec) : Code;
+  if (m_Jobs.running() >= m_Settings.m_MaxJobs)
+    return ResultCode::Overloaded;
+  ResultCode Code = m_Admission.check(Spec);
+  if (Code != ResultCode::Ok)
+    return Code;
+  return m_Admission.admit(Spec, dispatcher(Spec.m_Service));
 }
 
 void JobService::submitAs(JobId Id, JobSpec Spec, JobDone Done) {
@@ -138,65 +137,8 @@
   start(Added, std::move(Spec));
 }
 
-ResultCode JobService::check(const JobSpec &Spec) const {
-  if (m_Configuration.version() == 0)
-    return ResultCode::NoConfiguration;
-  const DesiredState &State = m_Configuration.state();
-  auto Service = State.m_Services.find(Spec.m_Service);
-  if (Service == State.m_Services.end())
-    return ResultCode::UnknownService;
-  auto Team = State.m_Teams.find(Spec.m_Team);
-  if (Team == State.m_Teams.end())
-    return ResultCode::UnknownTeam;
-  const auto &Allowed = Team->second.m_Services;
-  if (!Allowed.empty() && !Allowed.count(Spec.m_Service))
-    return ResultCode::UnknownTeam;
-  std::size_t Tasks = Spec.m_Payloads.size();
-  if (Tasks == 0 || Tasks > Service->second.m_MaxTasks)
-    return ResultCode::TooManyTasks;
-  if (!m_Agents.canHold(Spec.m_Service, Spec.m_DeclaredCpus,
-                        Spec.m_DeclaredMemoryBytes))
-    return ResultCode::ImpossibleJob;
-  if (m_Jobs.running() >= m_Settings.m_MaxJobs)
-    return ResultCode::Overloaded;
-  return ResultCode::Ok;
-}
-
-Duration JobService::deadlineOf(const JobSpec &Spec) const {
-  const ServiceConfig &Service =
-      m_Configuration.state().m_Services.at(Spec.m_Service);
-  Duration Wanted = Spec.m_Deadline.value_or(Service.m_DefaultDeadline);
-  return std::min(Wanted, Service.m_MaxDeadline);
-}
-
-ResultCode JobService::admit(const JobSpec &Spec) {
-  Dispatcher &Owner = dispatcher(Spec.m_Service);
-  auto Learned =
-      m_RunTimes->quantile(Spec.m_Service, Spec.m_Kind, BoundQuantile);
-  auto Tasks = static_cast<std::int64_t>(Spec.m_Payloads.size());
-  AdmissionView View;
-  View.m_Remaining = deadlineOf(Spec);
-  // What a caller declares is no ground for refusal: it is often far off.
-  if (Learned) {
-    View.m_TaskTimeBound = *Learned;
-    View.m_OwnWork = expectedTaskTime(Spec) * Tasks;
-  }
-  View.m_WorkAhead =
-      Owner.queue().workAhead(Spec.m_Team, expectedTaskTime(Spec) * Tasks);
-  View.m_Slots = Owner.expectedSlots(m_Share().m_Entries);
-  return m_Hooks.m_Admission(View);
-}
-
-Duration JobService::expectedTaskTime(const JobSpec &Spec) const {
-  auto Learned = m_RunTimes->mean(Spec.m_Service, Spec.m_Kind);
-  if (Learned)
-    return *Learned;
-  Duration Declared = Spec.m_DeclaredRunTime.value_or(AssumedTaskTime);
-  return std::clamp(Declared, ShortestDeclared, LongestDeclared);
-}
-
 void JobService::start(Job &Added, JobSpec Spec) {
-  Duration Deadline = deadlineOf(Spec);
+  Duration Deadline = m_Admission.deadlineOf(Spec);
   m_Metrics.count(Metric::JobsAccepted);
   Added.m_State = m_JobChart.initial();
   Added.m_Spec = std::move(Spec);
@@ -216,7 +158,7 @@
     if (Job *Known = m_Jobs.find(Id))
       fireJob(*Known, JobEvent::Deadline);
   });
-  Duration TaskTime = expectedTaskTime(Added.m_Spec);
+  Duration TaskTime = m_Admission.expectedTaskTime(Added.m_Spec);
   const auto &Service =
       m_Configuration.state().m_Services.at(Added.m_Spec.m_Service);
   Added.m_IsLong = TaskTime >= Service.m_LongThreshold;
@@ -245,26 +187,12 @@
   return true;
 }
 
-/// Whether a job that has not run yet can still end in time. A start that is
-/// bound to be late would only take the slot from one that is not.
-bool JobService::isWorthStarting(const Job &Owner) const {
-  if (hasRun(Owner))
-    return true;
-  const JobSpec &Spec = Owner.m_Spec;
-  auto Learned =
-      m_RunTimes->quantile(Spec.m_Service, Spec.m_Kind, BoundQuantile);
-  if (!Learned)
-    return true;
-  AdmissionView View;
-  View.m_Remaining = Owner.m_DeadlineAt - m_Timers.now();
-  View.m_TaskTimeBound = *Learned;
-  View.m_Slots = 1;
-  return m_Hooks.m_Admission(View) == ResultCode::Ok;
-}
-
 void JobService::place(JobId Id) {
   Job &Owner = *m_Jobs.find(Id);
-  if (!isWorthStarting(Owner)) {
+  Duration Remaining = Owner.m_DeadlineAt - m_Timers.now();
+  bool IsHopeless =
+      !hasRun(Owner) && !m_Admission.isWorthStarting(Owner.m_Spec, Remaining);
+  if (IsHopeless) {
     releaseQuota(Owner.m_Spec.m_Service, Owner.m_Spec.m_Team);
     fireJob(Owner, JobEvent::Deadline);
     return;
@@ -342,6 +270,9 @@
   m_Agents.erase(Agent.m_Incarnation);
   m_Health->remove(Agent.m_Incarnation);
   const std::string &Service = Gone.m_Backend.m_Service;
+  // An agent without a backend server has never had a credit out.
+  if (Service.empty())
+    return;
   dispatcher(Service).ledger().removeAgent(Agent.m_Incarnation);
   dispatcher(Service).removeAgent(Agent.m_Incarnation);
   for (const auto &Lost : Gone.m_InFlight) {
--- a/packages/job/internal/jobservice.h
+++ b/packages/job/internal/jobservice.h
@@ -3,6 +3,7 @@
 
 #include "job/internal/agenttable.h"
 #include "job/internal/dispatcher.h"
+#include "job/internal/jobadmission.h"
 #include "job/internal/jobtable.h"
 
 #include <map>
@@ -31,13 +32,8 @@
   TaskChart bindTask(const IChartSource &Charts);
   JobChart bindJob(const IChartSource &Charts);
 
-  ResultCode check(const JobSpec &Spec) const;
-  Duration deadlineOf(const JobSpec &Spec) const;
-  ResultCode admit(const JobSpec &Spec);
-  Duration expectedTaskTime(const JobSpec &Spec) const;
   void start(Job &Added, JobSpec Spec);
 
-  bool isWorthStarting(const Job &Owner) const;
   void place(JobId Id);
   void sendStart(Job &Owner, std::uint32_t Index, const AgentCredit &Spent);
   void placeAgain(Task &Refused);
@@ -73,6 +69,7 @@
   std::unique_ptr<IRetryBudget> m_Budget;
   JobTable m_Jobs;
   AgentTable m_Agents;
+  const JobAdmission m_Admission;
   std::map<std::string, std::unique_ptr<Dispatcher>> m_Dispatchers;
   std::uint64_t m_LastSequence = 0;
   std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
