Mend what the linter and a second reading found

Copies that are references now, a reader of answers that stood in both the load bench and the test support, loops over floating point numbers.

--- a/bench/control_bench.cpp
+++ b/bench/control_bench.cpp
@@ -110,7 +110,7 @@
   for (int I = 0; I < 2 * State.range(1) + State.range(0); ++I)
     Rig.submit(TasksInJob);
   std::int64_t Tasks = 0;
-  for (auto _ : State) {
+  while (State.KeepRunning()) {
     Rig.submit(TasksInJob);
     for (std::uint32_t I = 0; I < TasksInJob; ++I)
       Rig.finishOne();
@@ -172,7 +172,7 @@
   Offer.m_Slots = 8;
   Slots->announce(Offer);
   std::uint64_t Sequence = 0;
-  for (auto _ : State) {
+  while (State.KeepRunning()) {
     Start Body;
     Body.m_Task = TaskId{JobId{Own, ++Sequence}, 0};
     Body.m_Credit = Links.m_Credits.front().m_Id;
@@ -214,7 +214,7 @@
 void encodeStart(benchmark::State &State) {
   Envelope Value = startEnvelope();
   std::size_t Bytes = 0;
-  for (auto _ : State)
+  while (State.KeepRunning())
     Bytes = encode(Value).size();
   State.counters["bytes"] = static_cast<double>(Bytes);
 }
@@ -222,7 +222,7 @@
 
 void decodeStart(benchmark::State &State) {
   std::string Bytes = encode(startEnvelope());
-  for (auto _ : State)
+  while (State.KeepRunning())
     benchmark::DoNotOptimize(decode(Bytes));
 }
 BENCHMARK(decodeStart);
@@ -231,7 +231,7 @@
   Envelope Value = startEnvelope();
   Value.m_Message = Heartbeat{};
   std::size_t Bytes = 0;
-  for (auto _ : State)
+  while (State.KeepRunning())
     Bytes = encode(Value).size();
   State.counters["bytes"] = static_cast<double>(Bytes);
 }
@@ -269,7 +269,7 @@
       {{"may", [](const Door &) { return true; }}},
       {{"count", [](Door &Subject) { ++Subject.m_Count; }}});
   Door Subject;
-  for (auto _ : State) {
+  while (State.KeepRunning()) {
     Chart.fire(Subject, DoorEvent::Push);
     Chart.fire(Subject, DoorEvent::Pull);
   }
@@ -318,7 +318,7 @@
     Receive(I, Hello{"a" + std::to_string(I), "127.0.0.1:2", "d", Role::Agent,
                      false});
   std::uint64_t Before = Transport.m_Bytes;
-  for (auto _ : State) {
+  while (State.KeepRunning()) {
     for (std::uint32_t I = 0; I < Count; ++I)
       Receive(I, Heartbeat{});
     Timers.advance(seconds(1));
@@ -336,7 +336,7 @@
   constexpr std::uint32_t Jobs = 5000;
   constexpr std::uint32_t TasksInJob = 20;
   double Bytes = 0;
-  for (auto _ : State) {
+  while (State.KeepRunning()) {
     EntryRig Rig(0, 1);
     std::size_t Before = heapInUse();
     for (std::uint32_t I = 0; I < Jobs; ++I)
@@ -351,7 +351,7 @@
 void memoryOfWorker(benchmark::State &State) {
   constexpr int Workers = 980;
   double Bytes = 0;
-  for (auto _ : State) {
+  while (State.KeepRunning()) {
     EntryRig Rig(1, 1);
     std::size_t Before = heapInUse();
     for (int I = 0; I < Workers; ++I)
--- a/bench/load_bench.cpp
+++ b/bench/load_bench.cpp
@@ -1,6 +1,7 @@
 #include "loadrun.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -65,7 +66,8 @@
   if (Values.empty())
     return 0;
   std::sort(Values.begin(), Values.end());
-  auto At = static_cast<std::size_t>(Share * (Values.size() - 1) + 0.5);
+  auto Last = static_cast<double>(Values.size() - 1);
+  auto At = static_cast<std::size_t>(std::lround(Share * Last));
   return Values[At];
 }
 
@@ -105,12 +107,13 @@
   // What is in time ends between the first arrival and the last deadline.
   double Capacity =
       std::chrono::duration<double>(Span + Deadline).count() * Slots;
-  return {{"in_time", InTime / All},
-          {"did_not_run", Refused / All},
-          {"late_or_failed", Late / All},
-          {"refused_at_admission", RefusalTimes.size() / All},
-          {"refusal_p99_ms", quantile(RefusalTimes, 0.99)},
-          {"work_in_time_over_capacity", WorkInTime / Capacity}};
+  return {
+      {"in_time", InTime / All},
+      {"did_not_run", Refused / All},
+      {"late_or_failed", Late / All},
+      {"refused_at_admission", static_cast<double>(RefusalTimes.size()) / All},
+      {"refusal_p99_ms", quantile(RefusalTimes, 0.99)},
+      {"work_in_time_over_capacity", WorkInTime / Capacity}};
 }
 
 Json messages(const SiteCounts &Before, const SiteCounts &After) {
--- a/bench/loadrun.cpp
+++ b/bench/loadrun.cpp
@@ -26,21 +26,6 @@
       .dump();
 }
 
-CallerAnswer readTold(const HttpResponse &Response, std::size_t Tasks) {
-  CallerAnswer Told;
-  Told.m_Tasks = Tasks;
-  Told.m_Code = ResultCode::EntryUnreachable;
-  Json Body = Json::parse(Response.m_Body, nullptr, false);
-  if (!Body.is_object())
-    return Told;
-  Told.m_Job = Body.value("id", "");
-  Told.m_Code = toResultCode(Body.value("code", 0));
-  if (Body.contains("answers"))
-    for (const Json &Answer : Body["answers"])
-      Told.m_AnsweredTasks.push_back(Answer.value("task", ""));
-  return Told;
-}
-
 void addCounts(SiteCounts &Counts, const std::string &Address) {
   HttpRequest Request;
   Request.m_Url = "http://" + Address + "/metrics";
@@ -88,7 +73,7 @@
       Sample.m_Kind = Item.m_Kind;
       Sample.m_Tasks = Item.m_RunTimes.size();
       Sample.m_Ideal = idealTime(Item, Slots);
-      Sample.m_Told = readTold(Response, Sample.m_Tasks);
+      Sample.m_Told = readCallerAnswer(Response, Sample.m_Tasks);
       Sample.m_Code = Sample.m_Told.m_Code;
     });
   }
--- a/bench/workload.cpp
+++ b/bench/workload.cpp
@@ -36,10 +36,12 @@
       return;
     std::exponential_distribution<double> Gap(Rate);
     double Span = std::chrono::duration<double>(m_Form.m_Span).count();
-    for (double At = Gap(m_Random); At < Span; At += Gap(m_Random)) {
+    double At = Gap(m_Random);
+    while (At < Span) {
       bool IsMedium =
           !IsLong && std::bernoulli_distribution(m_Form.m_JobsOf20)(m_Random);
       add(At, IsMedium ? MediumJob : 1, Factor, IsLong ? "long" : "short");
+      At += Gap(m_Random);
     }
   }
 
--- a/packages/platform/internal/remoteplatform.cpp
+++ b/packages/platform/internal/remoteplatform.cpp
@@ -85,15 +85,15 @@
                 });
 }
 
-void RemotePlatform::callRead(std::string Path, IHttpClient::Done Done) {
+void RemotePlatform::callRead(const std::string &Path, IHttpClient::Done Done) {
   m_Metrics.count(Metric::StoreReads);
-  call("GET", std::move(Path), {}, std::move(Done));
+  call("GET", Path, {}, std::move(Done));
 }
 
-void RemotePlatform::callWrite(std::string Method, std::string Path,
+void RemotePlatform::callWrite(std::string Method, const std::string &Path,
                                std::string Body, IHttpClient::Done Done) {
   m_Metrics.count(Metric::StoreWrites);
-  call(std::move(Method), std::move(Path), std::move(Body), std::move(Done));
+  call(std::move(Method), Path, std::move(Body), std::move(Done));
 }
 
 void RemotePlatform::transact(Transaction Changes,
--- a/packages/platform/internal/remoteplatform.h
+++ b/packages/platform/internal/remoteplatform.h
@@ -25,8 +25,8 @@
 private:
   void call(std::string Method, const std::string &Path, std::string Body,
             IHttpClient::Done Done);
-  void callRead(std::string Path, IHttpClient::Done Done);
-  void callWrite(std::string Method, std::string Path, std::string Body,
+  void callRead(const std::string &Path, IHttpClient::Done Done);
+  void callWrite(std::string Method, const std::string &Path, std::string Body,
                  IHttpClient::Done Done);
 
   const PlatformSettings m_Settings;
--- a/packages/statechart/tests/chart_test.cpp
+++ b/packages/statechart/tests/chart_test.cpp
@@ -41,14 +41,14 @@
 
 ResultCode codeOf(const std::string &Text) {
   try {
-    bind(Text);
+    DoorChart Bound = bind(Text);
   } catch (const Error &Caught) {
     return Caught.code();
   }
   return ResultCode::Ok;
 }
 
-std::string replace(std::string Text, const std::string &From,
+std::string replace(const std::string &Text, const std::string &From,
                     const std::string &To) {
   auto At = Text.find(From);
   return Text.substr(0, At) + To + Text.substr(At + From.size());
--- a/tests/integration/failure_test.cpp
+++ b/tests/integration/failure_test.cpp
@@ -26,7 +26,8 @@
 }
 
 /// Submits on a thread of its own, so that the test can break something.
-std::future<CallerAnswer> submitLater(Site &At, int Entry, JobOrderForm Form) {
+std::future<CallerAnswer> submitLater(Site &At, int Entry,
+                                      const JobOrderForm &Form) {
   return std::async(std::launch::async,
                     [&At, Entry, Form] { return At.submit(Entry, Form); });
 }
@@ -101,10 +102,12 @@
 TEST(Failure, entryPausedUnderLoadWhileItsKeysAreRepeatedElsewhere) {
   Site At(20400, 2, 2);
   std::vector<std::future<CallerAnswer>> Waiting;
+  Waiting.reserve(20);
   for (int I = 0; I < 20; ++I)
     Waiting.push_back(submitLater(At, 0, purchase("k" + std::to_string(I))));
   At.entry(0).signal(SIGSTOP);
   std::vector<std::future<CallerAnswer>> Repeated;
+  Repeated.reserve(20);
   for (int I = 0; I < 20; ++I)
     Repeated.push_back(submitLater(At, 1, purchase("k" + std::to_string(I))));
   std::this_thread::sleep_for(seconds(8));
@@ -172,6 +175,7 @@
   Site At(20700, 2, 1);
   for (std::uint64_t Base = 1; Base <= 5; ++Base) {
     std::vector<std::future<HttpResponse>> Applies;
+    Applies.reserve(6);
     for (int I = 0; I < 6; ++I)
       Applies.push_back(std::async(std::launch::async, [&At, I, Base] {
         std::string Id = std::to_string(Base) + "-" + std::to_string(I);
@@ -248,6 +252,7 @@
 TEST(Failure, cancellationWaveStopsWhatRuns) {
   Site At(21100, 1, 2);
   std::vector<std::future<CallerAnswer>> Waiting;
+  Waiting.reserve(20);
   for (int I = 0; I < 20; ++I)
     Waiting.push_back(submitLater(At, 0, slowJob(4, seconds(10))));
   ASSERT_TRUE(waitForStarts(At, 8));
--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -6,8 +6,7 @@
 #include <stdexcept>
 #include <sys/wait.h>
 #include <thread>
-
-extern char **environ;
+#include <unistd.h>
 
 namespace cyclamenwalk {
 
@@ -21,6 +20,7 @@
 ChildProcess::ChildProcess(const std::vector<std::string> &Command,
                            const std::string &LogFile) {
   std::vector<char *> Arguments;
+  Arguments.reserve(Command.size() + 1);
   for (const std::string &Word : Command)
     Arguments.push_back(const_cast<char *>(Word.c_str()));
   Arguments.push_back(nullptr);
--- a/tests/support/site.cpp
+++ b/tests/support/site.cpp
@@ -43,11 +43,11 @@
   return Body.dump();
 }
 
-CallerAnswer readAnswer(const HttpResponse &Response,
-                        const JobOrderForm &Form) {
+} // namespace
+
+CallerAnswer readCallerAnswer(const HttpResponse &Response, std::size_t Tasks) {
   CallerAnswer Told;
-  Told.m_Tasks = Form.m_Tasks;
-  Told.m_Reference = Form.m_Reference;
+  Told.m_Tasks = Tasks;
   Told.m_Code = ResultCode::EntryUnreachable;
   Json Body = Json::parse(Response.m_Body, nullptr, false);
   if (Response.m_Status == 0 || !Body.is_object())
@@ -60,8 +60,6 @@
   return Told;
 }
 
-} // namespace
-
 const char *const Site::Configuration = "[service gatepost]\n"
                                         "long_threshold = 2s\n"
                                         "[team vending]\n"
@@ -207,7 +205,10 @@
   Request.m_Body = body(Form);
   if (!Form.m_IdempotencyKey.empty())
     Request.m_Headers["Idempotency-Key"] = Form.m_IdempotencyKey;
-  return readAnswer(callHttp(Request, CallTimeout), Form);
+  CallerAnswer Told =
+      readCallerAnswer(callHttp(Request, CallTimeout), Form.m_Tasks);
+  Told.m_Reference = Form.m_Reference;
+  return Told;
 }
 
 CallerAnswer Site::submit(int Entry, const JobOrderForm &Form) {
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -40,6 +40,9 @@
   std::string m_Configuration;
 };
 
+/// What \p Response tells the caller of a job with that many tasks.
+CallerAnswer readCallerAnswer(const HttpResponse &Response, std::size_t Tasks);
+
 /// Real processes on loopback: a platform stand-in, entries, and agents with
 /// their backend stand-ins. Collects what callers are told, for the checker.
 class Site {
