Decode a submission once, and share the warm-up of two tests

The handler decoded the body to see whose ticket it names and then again to submit it; the decoded request is passed on now. Two tests of admission taught the entry a run time with the same loop.

--- a/packages/entry/internal/callerapi.cpp
+++ b/packages/entry/internal/callerapi.cpp
@@ -78,12 +78,11 @@
     return forwardTo(m_Entry, Incoming.m_Ticket->m_Entry, Request);
   if (!m_Entry.m_Process.isServing())
     throw Error(ResultCode::Draining, "the entry is draining");
-  return submitHere(Request, Request.query("wait") != "no");
+  return submitHere(std::move(Incoming), Request.query("wait") != "no");
 }
 
-HttpResponse CallerApi::submitHere(const HttpRequest &Request, bool Waits) {
-  auto Incoming = std::make_shared<Submission>(
-      decodeSubmission(Request.m_Body, Request.header("Idempotency-Key")));
+HttpResponse CallerApi::submitHere(Submission Decoded, bool Waits) {
+  auto Incoming = std::make_shared<Submission>(std::move(Decoded));
   auto Response = callControl<HttpResponse>(
       m_Entry.m_Control, AnswerLimit,
       [this, Incoming, Waits](const std::function<void(HttpResponse)> &Give) {
--- a/packages/entry/internal/callerapi.h
+++ b/packages/entry/internal/callerapi.h
@@ -16,7 +16,7 @@
 
 private:
   HttpResponse submit(const HttpRequest &Request);
-  HttpResponse submitHere(const HttpRequest &Request, bool Waits);
+  HttpResponse submitHere(Submission Decoded, bool Waits);
   HttpResponse fetch(const HttpRequest &Request);
   HttpResponse cancel(const HttpRequest &Request);
   HttpResponse issueTicket();
--- a/packages/job/tests/jobservice_test.cpp
+++ b/packages/job/tests/jobservice_test.cpp
@@ -11,6 +11,17 @@
                                 : Cell.m_Answers.back().m_Code;
 }
 
+/// Lets the entry learn that a task takes half a second.
+void learnRunTime(CellFake &Cell) {
+  for (int I = 0; I < 10; ++I) {
+    Cell.submit(0, CellFake::spec(1));
+    Cell.deliver();
+    Cell.m_Timers.advance(milliseconds(500));
+    Cell.finishAll();
+  }
+  Cell.m_Answers.clear();
+}
+
 } // namespace
 
 TEST(JobService, answersWholeJobsInOrder) {
@@ -219,13 +230,7 @@
 
 TEST(JobService, crestIsRefusedEarlyAsNotRun) {
   CellFake Cell(1, 1, 4);
-  for (int I = 0; I < 10; ++I) {
-    Cell.submit(0, CellFake::spec(1));
-    Cell.deliver();
-    Cell.m_Timers.advance(milliseconds(500));
-    Cell.finishAll();
-  }
-  Cell.m_Answers.clear();
+  learnRunTime(Cell);
   JobSpec Urgent = CellFake::spec(1);
   Urgent.m_Deadline = seconds(2);
   for (int I = 0; I < 100; ++I)
@@ -241,13 +246,7 @@
 
 TEST(JobService, taskThatCannotEndInTimeIsNotStarted) {
   CellFake Cell(1, 1, 1);
-  for (int I = 0; I < 10; ++I) {
-    Cell.submit(0, CellFake::spec(1));
-    Cell.deliver();
-    Cell.m_Timers.advance(milliseconds(500));
-    Cell.finishAll();
-  }
-  Cell.m_Answers.clear();
+  learnRunTime(Cell);
   JobSpec Urgent = CellFake::spec(1);
   Urgent.m_Deadline = milliseconds(1300);
   Cell.submit(0, Urgent);
