--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -17,6 +17,9 @@
 
 # cw_test(NAME SOURCES ... [DEPENDS ...]): one GoogleTest program.
 function(cw_test NAME)
+  if(NOT CW_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS;LIBRARIES" ${ARGN})
   add_executable(${NAME} ${ARG_SOURCES})
   foreach(DEP ${ARG_DEPENDS})
--- /dev/null
+++ b/packages/batch/batchmodule.h
@@ -0,0 +1,37 @@
+#ifndef CYCLAMENWALK_BATCH_BATCHMODULE_H
+#define CYCLAMENWALK_BATCH_BATCHMODULE_H
+
+#include "batch/ibatchservice.h"
+#include "core/imetrics.h"
+#include "core/itimerservice.h"
+#include "membership/ilinks.h"
+#include "policy/policymodule.h"
+#include "policy/types/placement.h"
+#include "statechart/ichartsource.h"
+
+#include <memory>
+
+namespace cyclamenwalk {
+
+/// The behaviour that can be replaced, by a baseline for example.
+struct BatchHooks {
+  Placement m_Placement = placeByEarliestFinish;
+  ObjectiveAdmission m_Admission = admitWithinObjective;
+  FailureTestFactory m_FailureTest = makeSequentialTest;
+};
+
+struct BatchDependencies {
+  const IChartSource &m_Charts;
+  ILinks &m_Links;
+  ITimerService &m_Timers;
+  IMetrics &m_Metrics;
+};
+
+std::unique_ptr<IBatchService> makeBatchService(Incarnation Own,
+                                                BatchSettings Settings,
+                                                BatchHooks Hooks,
+                                                BatchDependencies Needs);
+
+} // namespace cyclamenwalk
+
+#endif // CYCLAMENWALK_BATCH_BATCHMODULE_H
--- /dev/null
+++ b/packages/batch/internal/batchjob.h
@@ -0,0 +1,91 @@
+#ifndef CYCLAMENWALK_BATCH_INTERNAL_BATCHJOB_H
+#define CYCLAMENWALK_BATCH_INTERNAL_BATCHJOB_H
+
+#include "batch/types/batchspec.h"
+#include "core/itimerservice.h"
+#include "statechart/boundchart.h"
+
+#include <set>
+#include <vector>
+
+namespace cyclamenwalk {
+
+enum class BatchTaskState : std::uint8_t {
+  Unplaced,
+  Placed,
+  Succeeded,
+  Failed,
+  Unknown
+};
+enum class BatchTaskEvent {
+  Place,
+  Succeeded,
+  Failed,
+  Interrupted,
+  NotStarted,
+  Lost
+};
+
+template <> struct ChartNames<BatchTaskState> {
+  static constexpr std::array<std::string_view, 5> Values{
+      "unplaced", "placed", "succeeded", "failed", "unknown"};
+};
+template <> struct ChartNames<BatchTaskEvent> {
+  static constexpr std::array<std::string_view, 6> Values{
+      "place", "succeeded", "failed", "interrupted", "notStarted", "lost"};
+};
+
+enum class BatchJobState : std::uint8_t { Running, Succeeded, Failed };
+enum class BatchJobEvent { TaskSucceeded, GiveUp, Deadline, Cancel };
+
+template <> struct ChartNames<BatchJobState> {
+  static constexpr std::array<std::string_view, 3> Values{
+      "running", "succeeded", "failed"};
+};
+template <> struct ChartNames<BatchJobEvent> {
+  static constexpr std::array<std::string_view, 4> Values{
+      "taskSucceeded", "giveUp", "deadline", "cancel"};
+};
+
+struct BatchJob;
+
+/// One task of a batch job.
+struct BatchTask {
+  BatchTaskState m_State = BatchTaskState::Unplaced;
+  BatchJob *m_Job = nullptr;
+  std::uint32_t m_Index = 0;
+  /// The number of its last run.
+  std::uint32_t m_Run = 0;
+  /// Runs that have failed.
+  std::uint32_t m_Failures = 0;
+  /// Where it was placed last.
+  Incarnation m_Agent;
+};
+
+/// A batch job and its tasks.
+struct BatchJob {
+  BatchJobState m_State = BatchJobState::Running;
+  JobId m_Id;
+  BatchSpec m_Spec;
+  std::vector<BatchTask> m_Tasks;
+  std::uint32_t m_Succeeded = 0;
+  /// Whether a task is known to have begun.
+  bool m_HasRun = false;
+  TimePoint m_SubmittedAt;
+  TimePoint m_StartBy;
+  TimePoint m_DeadlineAt;
+  TimerId m_Timer = 0;
+  /// Workers on which a task of this job has failed.
+  std::set<Incarnation> m_FailedOn;
+  BatchAnswer m_Answer;
+  std::vector<BatchDone> m_Waiters;
+  /// Those of them whose callers have left.
+  std::size_t m_Departed = 0;
+};
+
+using BatchTaskChart = BoundChart<BatchTask, BatchTaskState, BatchTaskEvent>;
+using BatchJobChart = BoundChart<BatchJob, BatchJobState, BatchJobEvent>;
+
+} // namespace cyclamenwalk
+
+#endif // CYCLAMENWALK_BATCH_INTERNAL_BATCHJOB_H
--- /dev/null
+++ b/packages/batch/internal/batchservice.cpp
@@ -0,0 +1,473 @@
+#include "batch/internal/batchservice.h"
+
+#include "core/log.h"
+
+#include <algorithm>
+#include <map>
+
+namespace cyclamenwalk {
+
+namespace {
+
+/// A task whose run was too low is tried with a number this much higher.
+constexpr std::uint32_t RunJump = 1000;
+constexpr Duration LeastRetryAfter = seconds(1);
+
+Duration scaled(Duration Span, double Factor) {
+  return Duration(
+      static_cast<Duration::rep>(static_cast<double>(Span.count()) * Factor));
+}
+
+Metric metricOf(ResultCode Code) {
+  switch (outcomeOf(Code)) {
+  case Outcome::Succeeded:
+    return Metric::JobsSucceeded;
+  case Outcome::DidNotRun:
+    return Metric::JobsRefused;
+  case Outcome::OutcomeUnknown:
+    return Metric::JobsUnknown;
+  default:
+    return Metric::JobsFailed;
+  }
+}
+
+BatchTaskEvent eventOf(RunEnd How) {
+  switch (How) {
+  case RunEnd::Succeeded:
+    return BatchTaskEvent::Succeeded;
+  case RunEnd::Failed:
+    return BatchTaskEvent::Failed;
+  case RunEnd::NotStarted:
+  case RunEnd::RunTooLow:
+    return BatchTaskEvent::NotStarted;
+  default:
+    return BatchTaskEvent::Interrupted;
+  }
+}
+
+} // namespace
+
+BatchService::BatchService(Incarnation Own, BatchSettings Settings,
+                           BatchHooks Hooks, BatchDependencies Needs)
+    : m_Own(Own), m_Settings(Settings), m_Hooks(std::move(Hooks)),
+      m_Links(Needs.m_Links), m_Timers(Needs.m_Timers),
+      m_Metrics(Needs.m_Metrics), m_TaskChart(bindTask(Needs.m_Charts)),
+      m_JobChart(bindJob(Needs.m_Charts)), m_Workers(m_Timers),
+      m_Health(makeWorkerHealth(m_Hooks.m_FailureTest, Needs.m_Charts, m_Timers,
+                                m_Metrics)) {
+  m_Health->onLimitChanged([this](Incarnation Worker, std::uint32_t Limit) {
+    m_Workers.setLimit(Worker, Limit);
+  });
+}
+
+BatchService::~BatchService() {
+  for (auto &Known : m_Jobs)
+    m_Timers.cancel(Known.second->m_Timer);
+}
+
+BatchTaskChart BatchService::bindTask(const IChartSource &Charts) {
+  return BatchTaskChart(
+      Charts.chart("batchtask"),
+      {{"mayTryAgain",
+        [](const BatchTask &T) {
+          return T.m_Failures + 1 < T.m_Job->m_Spec.m_MaxAttempts;
+        }}},
+      {{"noteSuccess",
+        [](BatchTask &T) {
+          T.m_Job->m_HasRun = true;
+          ++T.m_Job->m_Succeeded;
+        }},
+       {"noteFailure",
+        [](BatchTask &T) {
+          T.m_Job->m_HasRun = true;
+          ++T.m_Failures;
+        }},
+       {"noteInterruption",
+        [](BatchTask &T) { T.m_Job->m_HasRun = true; }},
+       {"giveUpFailed",
+        [this](BatchTask &T) { giveUp(*T.m_Job, ResultCode::TaskFailed); }},
+       {"giveUpUnknown",
+        [this](BatchTask &T) { giveUp(*T.m_Job, ResultCode::AgentLost); }}});
+}
+
+BatchJobChart BatchService::bindJob(const IChartSource &Charts) {
+  return BatchJobChart(
+      Charts.chart("batchjob"),
+      {{"isComplete",
+        [](const BatchJob &J) { return J.m_Succeeded == J.m_Tasks.size(); }}},
+      {{"setDeadlineCode",
+        [this](BatchJob &J) {
+          setCode(J, ResultCode::DeadlineBeforeStart,
+                  ResultCode::DeadlineWhileRunning);
+        }},
+       {"setCancelCode",
+        [this](BatchJob &J) {
+          setCode(J, ResultCode::CancelledBeforeStart,
+                  ResultCode::CancelledWhileRunning);
+        }},
+       {"stopRest", [this](BatchJob &J) { stopRest(J); }},
+       {"answer", [this](BatchJob &J) { answer(J); }}});
+}
+
+JobId BatchService::submit(BatchSpec Spec, BatchDone Done) {
+  auto Known = m_ByName.find(Spec.m_Name);
+  if (Known != m_ByName.end()) {
+    logEvent(LogLevel::Info, "job.joined", {{"job", Spec.m_Name}});
+    m_Jobs.at(Known->second)->m_Waiters.push_back(std::move(Done));
+    return Known->second;
+  }
+  BatchJob &Added = addJob(std::move(Spec));
+  JobId Id = Added.m_Id;
+  Added.m_Waiters.push_back(std::move(Done));
+  ResultCode Possible = checkPossible(Added.m_Spec);
+  if (Possible != ResultCode::Ok) {
+    refuse(Added, Possible, LeastRetryAfter);
+    return Id;
+  }
+  PlacementJob Wanted = describePlacement(Added, Added.m_Spec.m_Tasks);
+  PlacementPlan Plan = plan(Added, Wanted);
+  if (Plan.m_Agents.empty()) {
+    refuse(Added, ResultCode::NoWorker, LeastRetryAfter);
+    return Id;
+  }
+  bool IsInTime = m_Hooks.m_Admission({Plan.m_LongestWait, Wanted.m_StartWithin,
+                                       Added.m_Spec.m_Priority}) &&
+                  Plan.m_Finish <= Added.m_Spec.m_Deadline;
+  logEvent(LogLevel::Info, IsInTime ? "job.admitted" : "job.not_admitted",
+           {{"job", Added.m_Spec.m_Name},
+            {"route", Added.m_Spec.m_Route},
+            {"configuration", Added.m_Spec.m_ConfigurationVersion},
+            {"tasks", Added.m_Spec.m_Tasks},
+            {"millicores", Added.m_Spec.m_Need.m_MilliCores},
+            {"estimated_ms", toMilliseconds(Added.m_Spec.m_Estimated)},
+            {"wait_ms", toMilliseconds(Plan.m_LongestWait)},
+            {"start_within_ms", toMilliseconds(Wanted.m_StartWithin)},
+            {"finish_ms", toMilliseconds(Plan.m_Finish)}});
+  if (IsInTime)
+    sendPlan(Added, Wanted, Plan);
+  else
+    refuse(Added, ResultCode::DeadlineUnreachable,
+           Plan.m_LongestWait - Wanted.m_StartWithin);
+  return Id;
+}
+
+BatchJob &BatchService::addJob(BatchSpec Spec) {
+  JobId Id{m_Own, ++m_LastJob};
+  auto Owned = std::make_unique<BatchJob>();
+  BatchJob &Added = *Owned;
+  Added.m_State = m_JobChart.initial();
+  Added.m_Id = Id;
+  Added.m_Answer.m_Job = Id;
+  Added.m_SubmittedAt = m_Timers.now();
+  Added.m_DeadlineAt =
+      m_Timers.now() + Spec.m_Deadline - m_Settings.m_AnswerMargin;
+  Duration Slack = scaled(Spec.m_Estimated, Spec.m_SlackFactor - 1) +
+                   Spec.m_TargetLatency - m_Settings.m_SlackMargin;
+  Added.m_StartBy = m_Timers.now() + std::max(Slack, Duration::zero());
+  Added.m_Tasks.resize(Spec.m_Tasks);
+  for (std::uint32_t I = 0; I < Spec.m_Tasks; ++I) {
+    Added.m_Tasks[I].m_State = m_TaskChart.initial();
+    Added.m_Tasks[I].m_Job = &Added;
+    Added.m_Tasks[I].m_Index = I;
+  }
+  Added.m_Spec = std::move(Spec);
+  Added.m_Timer =
+      m_Timers.subscribe(Added.m_DeadlineAt - m_Timers.now(), [this, Id] {
+        if (BatchJob *Known = find(Id))
+          fireJob(*Known, BatchJobEvent::Deadline);
+      });
+  m_ByName[Added.m_Spec.m_Name] = Id;
+  m_Jobs.emplace(Id, std::move(Owned));
+  return Added;
+}
+
+ResultCode BatchService::checkPossible(const BatchSpec &Spec) const {
+  if (m_Jobs.size() > m_Settings.m_MaxJobs)
+    return ResultCode::Overloaded;
+  if (!m_Workers.hasAccepting())
+    return ResultCode::NoWorker;
+  return m_Workers.canHold(Spec.m_Service, Spec.m_Need)
+             ? ResultCode::Ok
+             : ResultCode::ImpossibleJob;
+}
+
+void BatchService::refuse(BatchJob &Refused, ResultCode Code,
+                          Duration RetryAfter) {
+  Refused.m_Answer.m_RetryAfter = std::max(RetryAfter, LeastRetryAfter);
+  giveUp(Refused, Code);
+}
+
+PlacementJob BatchService::describePlacement(const BatchJob &Known,
+                                             std::uint32_t Tasks) const {
+  PlacementJob Wanted;
+  Wanted.m_Tasks = Tasks;
+  Wanted.m_Need = Known.m_Spec.m_Need;
+  Wanted.m_Expected = scaled(Known.m_Spec.m_Estimated,
+                             m_Workers.meanSlowness(Known.m_Spec.m_Service));
+  Wanted.m_StartWithin = Known.m_StartBy - m_Timers.now();
+  Wanted.m_Rack = Known.m_Spec.m_Rack;
+  Wanted.m_RemotePenalty = m_Settings.m_RemotePenalty;
+  return Wanted;
+}
+
+PlacementPlan BatchService::plan(const BatchJob &Known,
+                                 const PlacementJob &Wanted) const {
+  const std::string &Service = Known.m_Spec.m_Service;
+  auto Elsewhere = m_Hooks.m_Placement(
+      m_Workers.views(Service, Known.m_FailedOn), Wanted);
+  if (!Elsewhere.m_Agents.empty() || Known.m_FailedOn.empty())
+    return Elsewhere;
+  return m_Hooks.m_Placement(m_Workers.views(Service, {}), Wanted);
+}
+
+void BatchService::sendPlan(BatchJob &Owner, const PlacementJob &Wanted,
+                            const PlacementPlan &Plan) {
+  std::map<Incarnation, std::vector<BatchTask *>> ByAgent;
+  auto Next = Plan.m_Agents.begin();
+  for (BatchTask &Known : Owner.m_Tasks) {
+    if (Known.m_State != BatchTaskState::Unplaced)
+      continue;
+    ByAgent[*Next++].push_back(&Known);
+  }
+  for (auto &Known : ByAgent)
+    sendTo(Known.first, Owner, Wanted, std::move(Known.second));
+}
+
+void BatchService::sendTo(Incarnation Agent, BatchJob &Owner,
+                          const PlacementJob &Wanted,
+                          std::vector<BatchTask *> Chosen) {
+  PlaceTasks Body;
+  Body.m_Job = Owner.m_Id;
+  Body.m_Name = Owner.m_Spec.m_BackendName;
+  Body.m_Service = Owner.m_Spec.m_Service;
+  Body.m_Spec = Owner.m_Spec.m_Spec;
+  Body.m_Need = Owner.m_Spec.m_Need;
+  Body.m_Expected = Owner.m_Spec.m_Estimated;
+  Body.m_StartWithin = Wanted.m_StartWithin;
+  Body.m_Remaining = Owner.m_DeadlineAt - m_Timers.now();
+  for (BatchTask *Known : Chosen) {
+    m_TaskChart.fire(*Known, BatchTaskEvent::Place);
+    Known->m_Agent = Agent;
+    Body.m_Tasks.push_back({Known->m_Index, ++Known->m_Run});
+  }
+  auto Count = static_cast<std::uint32_t>(Chosen.size());
+  m_Workers.charge(Agent, Wanted, Count);
+  m_Metrics.count(Metric::TasksSent, Count);
+  m_Links.send(Agent, std::move(Body));
+}
+
+/// Places the tasks whose earlier runs are over, or gives the job up.
+void BatchService::placeRest(BatchJob &Owner) {
+  auto Unplaced = static_cast<std::uint32_t>(std::count_if(
+      Owner.m_Tasks.begin(), Owner.m_Tasks.end(), [](const BatchTask &Known) {
+        return Known.m_State == BatchTaskState::Unplaced;
+      }));
+  if (Unplaced == 0 || Owner.m_State != BatchJobState::Running)
+    return;
+  PlacementJob Wanted = describePlacement(Owner, Unplaced);
+  PlacementPlan Plan = plan(Owner, Wanted);
+  Duration Remaining = Owner.m_DeadlineAt - m_Timers.now();
+  bool IsOver = Plan.m_Agents.empty() || Plan.m_Finish > Remaining;
+  logEvent(LogLevel::Info, IsOver ? "job.hopeless" : "job.placed_again",
+           {{"job", Owner.m_Spec.m_Name},
+            {"tasks", Unplaced},
+            {"wait_ms", toMilliseconds(Plan.m_LongestWait)},
+            {"finish_ms", toMilliseconds(Plan.m_Finish)},
+            {"remaining_ms", toMilliseconds(Remaining)}});
+  if (!IsOver) {
+    m_Metrics.count(Metric::TasksReplaced, Unplaced);
+    sendPlan(Owner, Wanted, Plan);
+    return;
+  }
+  Owner.m_Answer.m_RetryAfter = LeastRetryAfter;
+  giveUp(Owner, mayHaveRun(Owner) ? ResultCode::DeadlineWhileRunning
+                                  : ResultCode::DeadlineUnreachable);
+}
+
+void BatchService::abandon(JobId Id) {
+  BatchJob *Known = find(Id);
+  if (!Known)
+    return;
+  // Others may wait for the same job.
+  ++Known->m_Departed;
+  if (Known->m_Departed >= Known->m_Waiters.size())
+    fireJob(*Known, BatchJobEvent::Cancel);
+}
+
+bool BatchService::cancel(const std::string &Name) {
+  auto Known = m_ByName.find(Name);
+  if (Known == m_ByName.end())
+    return false;
+  fireJob(*m_Jobs.at(Known->second), BatchJobEvent::Cancel);
+  return true;
+}
+
+bool BatchService::isRunning(const std::string &Name) const {
+  return m_ByName.count(Name) > 0;
+}
+
+std::size_t BatchService::waiting(const std::string &Route) const {
+  return static_cast<std::size_t>(
+      std::count_if(m_Jobs.begin(), m_Jobs.end(), [&Route](const auto &Known) {
+        return Known.second->m_Spec.m_Route == Route &&
+               !Known.second->m_HasRun;
+      }));
+}
+
+void BatchService::agentUp(const Peer &Agent) { m_Workers.add(Agent); }
+
+void BatchService::agentDown(const Peer &Agent) {
+  Incarnation Gone = Agent.m_Incarnation;
+  m_Workers.remove(Gone);
+  m_Health->remove(Gone);
+  m_Judged.erase(Gone);
+  std::vector<JobId> Ids;
+  for (const auto &Known : m_Jobs)
+    Ids.push_back(Known.first);
+  for (JobId Id : Ids) {
+    BatchJob *Known = find(Id);
+    if (!Known)
+      continue;
+    for (BatchTask &Task : Known->m_Tasks) {
+      bool IsThere =
+          Task.m_State == BatchTaskState::Placed && Task.m_Agent == Gone;
+      // The job ends with its first lost task.
+      if (IsThere) {
+        m_TaskChart.fire(Task, BatchTaskEvent::Lost);
+        break;
+      }
+    }
+  }
+}
+
+void BatchService::receive(Incarnation Agent, Message &Body) {
+  if (auto *Report = std::get_if<WorkerReport>(&Body)) {
+    receiveReport(Agent, std::move(*Report));
+  } else if (auto *Ends = std::get_if<TaskEnds>(&Body)) {
+    receiveEnds(Agent, *Ends);
+  }
+}
+
+void BatchService::receiveReport(Incarnation Agent, WorkerReport Report) {
+  bool IsNew = !Report.m_Service.empty() && m_Judged.insert(Agent).second;
+  if (IsNew)
+    m_Health->add(Agent, Report.m_Service);
+  m_Workers.report(Agent, std::move(Report));
+}
+
+void BatchService::receiveEnds(Incarnation Agent, TaskEnds &Body) {
+  receiveReport(Agent, std::move(Body.m_Report));
+  std::set<JobId> Touched;
+  for (const TaskEnd &End : Body.m_Ends) {
+    receiveEnd(Agent, End);
+    Touched.insert(End.m_Job);
+  }
+  for (JobId Id : Touched)
+    if (BatchJob *Known = find(Id))
+      placeRest(*Known);
+}
+
+void BatchService::receiveEnd(Incarnation Agent, const TaskEnd &End) {
+  m_Workers.settle(Agent);
+  BatchJob *Owner = find(End.m_Job);
+  bool IsKnown = Owner && End.m_Index < Owner->m_Tasks.size();
+  if (!IsKnown) {
+    m_Metrics.count(Metric::LateResults);
+    return;
+  }
+  BatchTask &Ended = Owner->m_Tasks[End.m_Index];
+  bool IsCurrent = Ended.m_Agent == Agent && Ended.m_Run == End.m_Run;
+  if (!IsCurrent) {
+    m_Metrics.count(Metric::LateResults);
+    return;
+  }
+  judge(Agent, *Owner, End.m_How);
+  if (End.m_How == RunEnd::RunTooLow)
+    Ended.m_Run += RunJump;
+  m_TaskChart.fire(Ended, eventOf(End.m_How));
+  if (End.m_How == RunEnd::Succeeded)
+    fireJob(*Owner, BatchJobEvent::TaskSucceeded);
+}
+
+void BatchService::judge(Incarnation Agent, BatchJob &Owner, RunEnd How) {
+  if (How == RunEnd::Succeeded) {
+    m_Metrics.count(Metric::TasksSucceeded);
+    m_Health->record(Agent, false);
+    return;
+  }
+  if (How != RunEnd::Failed) {
+    m_Metrics.count(Metric::TasksRefused);
+    return;
+  }
+  m_Metrics.count(Metric::TasksFailed);
+  // The tasks of one job may fail for the same reason of their own, so a job
+  // counts once against a worker.
+  if (Owner.m_FailedOn.insert(Agent).second)
+    m_Health->record(Agent, true);
+}
+
+BatchJob *BatchService::find(JobId Id) {
+  auto Found = m_Jobs.find(Id);
+  return Found == m_Jobs.end() ? nullptr : Found->second.get();
+}
+
+void BatchService::fireJob(BatchJob &Changed, BatchJobEvent What) {
+  m_JobChart.fire(Changed, What);
+}
+
+void BatchService::giveUp(BatchJob &Owner, ResultCode Code) {
+  Owner.m_Answer.m_Code = Code;
+  fireJob(Owner, BatchJobEvent::GiveUp);
+}
+
+bool BatchService::mayHaveRun(const BatchJob &Known) const {
+  return Known.m_HasRun ||
+         std::any_of(Known.m_Tasks.begin(), Known.m_Tasks.end(),
+                     [](const BatchTask &Task) {
+                       return Task.m_State != BatchTaskState::Unplaced;
+                     });
+}
+
+void BatchService::setCode(BatchJob &Ended, ResultCode DidNotRun,
+                           ResultCode MayHaveRun) {
+  Ended.m_Answer.m_Code = mayHaveRun(Ended) ? MayHaveRun : DidNotRun;
+}
+
+/// Stops what is placed, one message for each agent.
+void BatchService::stopRest(BatchJob &Failed) {
+  std::set<Incarnation> Agents;
+  for (const BatchTask &Known : Failed.m_Tasks)
+    if (Known.m_State == BatchTaskState::Placed)
+      Agents.insert(Known.m_Agent);
+  for (Incarnation Agent : Agents)
+    m_Links.send(Agent, StopJob{Failed.m_Id});
+}
+
+void BatchService::answer(BatchJob &Ended) {
+  m_Timers.cancel(Ended.m_Timer);
+  const BatchAnswer &Whole = Ended.m_Answer;
+  Duration Taken = m_Timers.now() - Ended.m_SubmittedAt;
+  m_Metrics.count(metricOf(Whole.m_Code));
+  m_Metrics.observe(Timing::BatchJob, Taken);
+  logEvent(LogLevel::Info, "job.answered",
+           {{"job", Ended.m_Spec.m_Name},
+            {"route", Ended.m_Spec.m_Route},
+            {"code", static_cast<int>(Whole.m_Code)},
+            {"tasks", Ended.m_Tasks.size()},
+            {"succeeded", Ended.m_Succeeded},
+            {"taken_ms", toMilliseconds(Taken)}});
+  auto Waiters = std::move(Ended.m_Waiters);
+  BatchAnswer Given = Whole;
+  m_ByName.erase(Ended.m_Spec.m_Name);
+  // The job may be in use further up the stack, so it is erased afterwards.
+  JobId Id = Ended.m_Id;
+  m_Timers.subscribe(Duration::zero(), [this, Id] { m_Jobs.erase(Id); });
+  for (const BatchDone &Done : Waiters)
+    Done(Given);
+}
+
+bool BatchService::hasWorkers() const { return m_Workers.hasAccepting(); }
+
+std::size_t BatchService::running() const { return m_ByName.size(); }
+
+} // namespace cyclamenwalk
--- /dev/null
+++ b/packages/batch/internal/batchservice.h
@@ -0,0 +1,76 @@
+#ifndef CYCLAMENWALK_BATCH_INTERNAL_BATCHSERVICE_H
+#define CYCLAMENWALK_BATCH_INTERNAL_BATCHSERVICE_H
+
+#include "batch/batchmodule.h"
+#include "batch/internal/batchjob.h"
+#include "batch/internal/workertable.h"
+
+#include <unordered_map>
+
+namespace cyclamenwalk {
+
+class BatchService final : public IBatchService {
+public:
+  BatchService(Incarnation Own, BatchSettings Settings, BatchHooks Hooks,
+               BatchDependencies Needs);
+  ~BatchService() override;
+
+  JobId submit(BatchSpec Spec, BatchDone Done) override;
+  void abandon(JobId Id) override;
+  bool cancel(const std::string &Name) override;
+  bool isRunning(const std::string &Name) const override;
+  std::size_t waiting(const std::string &Route) const override;
+  void agentUp(const Peer &Agent) override;
+  void agentDown(const Peer &Agent) override;
+  void receive(Incarnation Agent, Message &Body) override;
+  bool hasWorkers() const override;
+  std::size_t running() const override;
+
+private:
+  BatchTaskChart bindTask(const IChartSource &Charts);
+  BatchJobChart bindJob(const IChartSource &Charts);
+
+  BatchJob &addJob(BatchSpec Spec);
+  void refuse(BatchJob &Refused, ResultCode Code, Duration RetryAfter);
+  ResultCode checkPossible(const BatchSpec &Spec) const;
+  PlacementJob describePlacement(const BatchJob &Known,
+                                 std::uint32_t Tasks) const;
+  PlacementPlan plan(const BatchJob &Known, const PlacementJob &Wanted) const;
+  void sendPlan(BatchJob &Owner, const PlacementJob &Wanted,
+                const PlacementPlan &Plan);
+  void sendTo(Incarnation Agent, BatchJob &Owner, const PlacementJob &Wanted,
+              std::vector<BatchTask *> Chosen);
+  void placeRest(BatchJob &Owner);
+
+  void receiveReport(Incarnation Agent, WorkerReport Report);
+  void receiveEnds(Incarnation Agent, TaskEnds &Body);
+  void receiveEnd(Incarnation Agent, const TaskEnd &End);
+  void judge(Incarnation Agent, BatchJob &Owner, RunEnd How);
+  BatchJob *find(JobId Id);
+  void fireJob(BatchJob &Changed, BatchJobEvent What);
+  void giveUp(BatchJob &Owner, ResultCode Code);
+  bool mayHaveRun(const BatchJob &Known) const;
+  void setCode(BatchJob &Ended, ResultCode DidNotRun, ResultCode MayHaveRun);
+  void stopRest(BatchJob &Failed);
+  void answer(BatchJob &Ended);
+
+  const Incarnation m_Own;
+  const BatchSettings m_Settings;
+  const BatchHooks m_Hooks;
+  ILinks &m_Links;
+  ITimerService &m_Timers;
+  IMetrics &m_Metrics;
+  const BatchTaskChart m_TaskChart;
+  const BatchJobChart m_JobChart;
+  WorkerTable m_Workers;
+  std::unique_ptr<IWorkerHealth> m_Health;
+  /// The workers that m_Health knows.
+  std::set<Incarnation> m_Judged;
+  std::unordered_map<JobId, std::unique_ptr<BatchJob>> m_Jobs;
+  std::unordered_map<std::string, JobId> m_ByName;
+  std::uint64_t m_LastJob = 0;
+};
+
+} // namespace cyclamenwalk
+
+#endif // CYCLAMENWALK_BATCH_INTERNAL_BATCHSERVICE_H
--- /dev/null
+++ b/packages/batch/internal/workertable.h
@@ -0,0 +1,73 @@
+#ifndef CYCLAMENWALK_BATCH_INTERNAL_WORKERTABLE_H
+#define CYCLAMENWALK_BATCH_INTERNAL_WORKERTABLE_H
+
+#include "core/itimerservice.h"
+#include "membership/types/peer.h"
+#include "policy/iworkerhealth.h"
+#include "policy/types/placement.h"
+
+#include <deque>
+#include <set>
+#include <unordered_map>
+
+namespace cyclamenwalk {
+
+/// The workers as their agents report them, with what this entry has placed
+/// there since the report was made.
+class WorkerTable {
+public:
+  explicit WorkerTable(ITimerService &Timers) : m_Timers(Timers) {}
+
+  void add(const Peer &Agent);
+  void remove(Incarnation Agent);
+  void report(Incarnation Agent, WorkerReport Report);
+  void setLimit(Incarnation Agent, std::uint32_t Limit);
+
+  /// Tasks of \p Job were placed there.
+  void charge(Incarnation Agent, const PlacementJob &Job, std::uint32_t Tasks);
+
+  /// A task that was placed there has ended.
+  void settle(Incarnation Agent);
+
+  /// The workers of a service that take tasks, but for \p Without.
+  std::vector<PlacementWorker> views(const std::string &Service,
+                                     const std::set<Incarnation> &Without) const;
+
+  /// Run time of tasks against their estimates, over all workers.
+  double meanSlowness(const std::string &Service) const;
+
+  bool hasAccepting() const;
+
+  /// Whether some worker of the service, busy or not, could hold a task.
+  bool canHold(const std::string &Service, const Room &Need) const;
+
+private:
+  struct Charged {
+    /// Counted over the life of the link, up to and with this charge.
+    std::uint64_t m_PlacedUpTo = 0;
+    std::uint32_t m_Tasks = 0;
+    PlacementJob m_Job;
+    TimePoint m_StartBy;
+  };
+
+  struct Worker {
+    Peer m_Peer;
+    WorkerReport m_Report;
+    TimePoint m_ReportedAt;
+    bool m_HasReport = false;
+    std::uint64_t m_Placed = 0;
+    std::deque<Charged> m_Unseen;
+    std::uint32_t m_InFlight = 0;
+    std::uint32_t m_Limit = IWorkerHealth::NoLimit;
+  };
+
+  bool isUsable(const Worker &Known, const std::string &Service) const;
+  PlacementWorker view(const Worker &Known, double MeanSlowness) const;
+
+  ITimerService &m_Timers;
+  std::unordered_map<Incarnation, Worker> m_Workers;
+};
+
+} // namespace cyclamenwalk
+
+#endif // CYCLAMENWALK_BATCH_INTERNAL_WORKERTABLE_H
--- a/packages/configuration/internal/desiredstate.cpp
+++ b/packages/configuration/internal/desiredstate.cpp
@@ -48,6 +48,21 @@
 
 } // namespace
 
+const RouteConfig *findRoute(const DesiredState &State, const std::string &Host,
+                             const std::string &Path) {
+  const RouteConfig *Longest = nullptr;
+  for (const RouteConfig &Known : State.m_Routes) {
+    bool Matches = Known.m_Host == Host && Path.starts_with(Known.m_PathPrefix);
+    if (!Matches)
+      continue;
+    bool IsLonger = !Longest || Known.m_PathPrefix.size() >
+                                    Longest->m_PathPrefix.size();
+    if (IsLonger)
+      Longest = &Known;
+  }
+  return Longest;
+}
+
 std::vector<std::string> listChanges(const DesiredState &Before,
                                      const DesiredState &After) {
   std::vector<std::string> Changes;
--- a/packages/configuration/types/desiredstate.h
+++ b/packages/configuration/types/desiredstate.h
@@ -39,13 +39,39 @@
   bool operator==(const TeamConfig &) const = default;
 };
 
+/// Which requests of callers become jobs of which service, and how.
+struct RouteConfig {
+  std::string m_Name;
+  /// The route of a request has its host and the longest matching prefix.
+  std::string m_Host;
+  std::string m_PathPrefix;
+  std::string m_Service;
+  /// Zero goes first.
+  std::uint32_t m_Priority = 0;
+  /// Runs of one task that may fail before its job does.
+  std::uint32_t m_MaxAttempts = 1;
+  /// The objective is this factor on the run time, and the latency on top.
+  double m_SlackFactor = 1;
+  Duration m_TargetLatency{};
+  /// Longest time to an answer.
+  Duration m_Timeout = seconds(10);
+  /// Whether a decision of another service is needed for each start.
+  bool m_NeedsAdvice = false;
+  bool operator==(const RouteConfig &) const = default;
+};
+
 /// A whole configuration, as one file states it.
 struct DesiredState {
+  std::vector<RouteConfig> m_Routes;
   std::map<std::string, ServiceConfig> m_Services;
   std::map<std::string, TeamConfig> m_Teams;
   bool operator==(const DesiredState &) const = default;
 };
 
+/// The route of a request; null when there is none.
+const RouteConfig *findRoute(const DesiredState &State, const std::string &Host,
+                             const std::string &Path);
+
 /// One line for each value that differs, for the audit trail and for diff.
 std::vector<std::string> listChanges(const DesiredState &Before,
                                      const DesiredState &After);
--- a/packages/entry/internal/controlcall.h
+++ b/packages/core/controlcall.h
@@ -1,5 +1,5 @@
-#ifndef CYCLAMENWALK_ENTRY_INTERNAL_CONTROLCALL_H
-#define CYCLAMENWALK_ENTRY_INTERNAL_CONTROLCALL_H
+#ifndef CYCLAMENWALK_CORE_CONTROLCALL_H
+#define CYCLAMENWALK_CORE_CONTROLCALL_H
 
 #include "core/error.h"
 #include "core/icontrolqueue.h"
@@ -39,4 +39,4 @@
 
 } // namespace cyclamenwalk
 
-#endif // CYCLAMENWALK_ENTRY_INTERNAL_CONTROLCALL_H
+#endif // CYCLAMENWALK_CORE_CONTROLCALL_H
--- a/packages/core/tests/mocks/metricsmock.h
+++ b/packages/core/tests/mocks/metricsmock.h
@@ -14,12 +14,18 @@
     m_Counts[static_cast<std::size_t>(What)] += Amount;
   }
 
+  void observe(Timing What, Duration) override {
+    ++m_Observations[static_cast<std::size_t>(What)];
+  }
+
   std::uint64_t of(Metric What) const {
     return m_Counts[static_cast<std::size_t>(What)];
   }
 
 private:
   std::array<std::uint64_t, static_cast<std::size_t>(Metric::Count)> m_Counts{};
+  std::array<std::uint64_t, static_cast<std::size_t>(Timing::Count)>
+      m_Observations{};
 };
 
 } // namespace cyclamenwalk
--- a/packages/core/types/metric.h
+++ b/packages/core/types/metric.h
@@ -39,6 +39,17 @@
   Count
 };
 
+/// What the processes measure as latency.
+enum class Timing : std::size_t {
+  /// From the submission of a batch job to its answer.
+  BatchJob,
+  /// From the placement of a task at an agent to its start.
+  TaskWait,
+  /// From the order to start a task to the backend server's reply.
+  StartOrder,
+  Count
+};
+
 } // namespace cyclamenwalk
 
 #endif // CYCLAMENWALK_CORE_TYPES_METRIC_H
--- a/packages/core/types/time.h
+++ b/packages/core/types/time.h
@@ -2,11 +2,28 @@
 #define CYCLAMENWALK_CORE_TYPES_TIME_H
 
 #include <chrono>
+#include <cstdint>
+#include <ctime>
 
 namespace cyclamenwalk {
 
-/// The clock of all decisions. Instants of two machines are never compared.
-using Clock = std::chrono::steady_clock;
+/// The clock of all decisions: monotonic, and also counts the time for which
+/// the machine was suspended. Instants of two machines are never compared.
+struct Clock {
+  using duration = std::chrono::nanoseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<Clock>;
+  static constexpr bool is_steady = true;
+
+  static time_point now() noexcept {
+    std::timespec Value{};
+    clock_gettime(CLOCK_BOOTTIME, &Value);
+    return time_point(std::chrono::seconds(Value.tv_sec) +
+                      std::chrono::nanoseconds(Value.tv_nsec));
+  }
+};
+
 using TimePoint = Clock::time_point;
 using Duration = Clock::duration;
 
--- a/packages/entry/internal/callerapi.cpp
+++ b/packages/entry/internal/callerapi.cpp
@@ -2,7 +2,7 @@
 
 #include "core/error.h"
 #include "core/log.h"
-#include "entry/internal/controlcall.h"
+#include "core/controlcall.h"
 #include "entry/internal/forwarding.h"
 #include "entry/internal/jsoncodec.h"
 
--- a/packages/entry/internal/forwarding.cpp
+++ b/packages/entry/internal/forwarding.cpp
@@ -1,6 +1,6 @@
 #include "entry/internal/forwarding.h"
 
-#include "entry/internal/controlcall.h"
+#include "core/controlcall.h"
 #include "entry/internal/jsoncodec.h"
 #include "http/blockinghttp.h"
 
--- a/packages/entry/internal/operatorapi.cpp
+++ b/packages/entry/internal/operatorapi.cpp
@@ -2,7 +2,7 @@
 
 #include "core/error.h"
 #include "entry/internal/callerapi.h"
-#include "entry/internal/controlcall.h"
+#include "core/controlcall.h"
 #include "entry/internal/jsoncodec.h"
 #include "rowcodec/rowcodecs.h"
 
--- a/packages/http/httpserver.h
+++ b/packages/http/httpserver.h
@@ -16,6 +16,8 @@
   std::string m_Listen;
   /// Largest request body, in bytes; a larger one is refused.
   std::size_t m_BodyLimit = 4 * 1024 * 1024;
+  /// An idle connection is closed after this time; zero for never.
+  Duration m_IdleLimit = Duration::zero();
 };
 
 /// An HTTP server over ulfius. Each connection has a traffic thread of its
@@ -38,6 +40,11 @@
   /// Throws Error with ListenFailed when the address is not free.
   void start();
 
+  /// Calls \p Departed from another thread, at most once, when the caller of
+  /// \p Request closes its connection before unwatch().
+  void watch(const HttpRequest &Request, std::function<void()> Departed);
+  void unwatch(const HttpRequest &Request);
+
   /// Handlers that are running now.
   std::size_t running() const;
 
--- a/packages/http/ihttpclient.h
+++ b/packages/http/ihttpclient.h
@@ -17,7 +17,7 @@
 
   /// Sends \p Request; \p Call gets the response on the control thread, with
   /// status 0 when none came within \p Timeout. The request may have had its
-  /// effect all the same.
+  /// effect all the same, unless m_WasSent is false.
   virtual void send(HttpRequest Request, Duration Timeout, Done Call) = 0;
 };
 
--- a/packages/http/internal/httpserver.cpp
+++ b/packages/http/internal/httpserver.cpp
@@ -1,6 +1,7 @@
 #include "http/httpserver.h"
 
 #include "core/error.h"
+#include "http/internal/departurewatch.h"
 
 #include <arpa/inet.h>
 #include <condition_variable>
@@ -34,6 +35,19 @@
   return Parsed;
 }
 
+/// Stack of a connection's thread, in bytes.
+constexpr std::size_t ConnectionStack = 256 * 1024;
+
+/// The caller's address and port, which no two open connections share.
+std::string connectionName(const sockaddr *Caller) {
+  if (!Caller || Caller->sa_family != AF_INET)
+    return {};
+  sockaddr_in Address{};
+  std::memcpy(&Address, Caller, sizeof Address);
+  return std::to_string(Address.sin_addr.s_addr) + ":" +
+         std::to_string(ntohs(Address.sin_port));
+}
+
 std::map<std::string, std::string> toMap(const struct _u_map *Raw) {
   std::map<std::string, std::string> Values;
   for (int I = 0; I < Raw->nb_values; ++I)
@@ -44,6 +58,7 @@
 HttpRequest toRequest(const struct _u_request &Raw) {
   HttpRequest Request;
   Request.m_Method = Raw.http_verb;
+  Request.m_Connection = connectionName(Raw.client_address);
   Request.m_Url = Raw.http_url;
   Request.m_Headers = toMap(Raw.map_header);
   // ulfius keeps placeholders and query parameters in one map.
@@ -104,8 +119,34 @@
     ulfius_set_default_endpoint(&m_Instance, &Impl::callback, &m_Routes.back());
   }
 
+  void watch(const HttpRequest &Request, std::function<void()> Departed) {
+    m_Departures.watch(Request.m_Connection, std::move(Departed));
+  }
+
+  void unwatch(const HttpRequest &Request) {
+    m_Departures.unwatch(Request.m_Connection);
+  }
+
   void start() {
-    if (ulfius_start_framework(&m_Instance) != U_OK)
+    auto IdleSeconds =
+        std::chrono::duration_cast<seconds>(m_Settings.m_IdleLimit).count();
+    // The first three are those that ulfius needs.
+    MHD_OptionItem Options[] = {
+        {MHD_OPTION_NOTIFY_COMPLETED,
+         reinterpret_cast<std::intptr_t>(&mhd_request_completed), nullptr},
+        {MHD_OPTION_URI_LOG_CALLBACK,
+         reinterpret_cast<std::intptr_t>(&ulfius_uri_logger), nullptr},
+        {MHD_OPTION_SOCK_ADDR, 0, &m_Address.m_Value},
+        {MHD_OPTION_NOTIFY_CONNECTION,
+         reinterpret_cast<std::intptr_t>(&Impl::noteConnection), this},
+        {MHD_OPTION_THREAD_STACK_SIZE, ConnectionStack, nullptr},
+        {MHD_OPTION_CONNECTION_TIMEOUT,
+         static_cast<std::intptr_t>(IdleSeconds), nullptr},
+        {MHD_OPTION_END, 0, nullptr}};
+    unsigned Flags =
+        MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD;
+    if (ulfius_start_framework_with_mhd_options(&m_Instance, Flags, Options) !=
+        U_OK)
       throw Error(ResultCode::ListenFailed,
                   "cannot listen on " + m_Settings.m_Listen);
     m_IsStarted = true;
@@ -137,6 +178,22 @@
     Handler m_Serve;
   };
 
+  static void noteConnection(void *Server, struct MHD_Connection *Connection,
+                             void **, enum MHD_ConnectionNotificationCode What) {
+    auto *Caller = MHD_get_connection_info(
+        Connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+    auto *Socket =
+        MHD_get_connection_info(Connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    if (!Caller || !Socket)
+      return;
+    auto &Watch = static_cast<Impl *>(Server)->m_Departures;
+    std::string Name = connectionName(Caller->client_addr);
+    if (What == MHD_CONNECTION_NOTIFY_STARTED)
+      Watch.opened(Name, Socket->connect_fd);
+    else
+      Watch.closed(Name);
+  }
+
   static int callback(const struct _u_request *Raw, struct _u_response *Answer,
                       void *Data) {
     auto *Known = static_cast<Route *>(Data);
@@ -175,6 +232,7 @@
   std::list<Route> m_Routes;
   Handler m_TooLarge;
   bool m_IsStarted = false;
+  DepartureWatch m_Departures;
   mutable std::mutex m_Mutex;
   std::condition_variable m_Idle;
   std::size_t m_Running = 0;
@@ -196,6 +254,13 @@
 void HttpServer::onNotFound(Handler Serve) {
   m_Impl->onNotFound(std::move(Serve));
 }
+void HttpServer::watch(const HttpRequest &Request,
+                       std::function<void()> Departed) {
+  m_Impl->watch(Request, std::move(Departed));
+}
+void HttpServer::unwatch(const HttpRequest &Request) {
+  m_Impl->unwatch(Request);
+}
 void HttpServer::start() { m_Impl->start(); }
 std::size_t HttpServer::running() const { return m_Impl->running(); }
 void HttpServer::closeConnections() { m_Impl->closeConnections(); }
--- a/packages/http/types/httpmessage.h
+++ b/packages/http/types/httpmessage.h
@@ -16,6 +16,8 @@
   /// Values of the placeholders in the route's path.
   std::map<std::string, std::string> m_Path;
   std::string m_Body;
+  /// The server's name for the caller's connection; empty at a client.
+  std::string m_Connection;
 
   /// The header, query or path value with \p Name; empty when absent. Header
   /// names are compared without regard to case.
@@ -27,6 +29,8 @@
 struct HttpResponse {
   /// Zero at a client when there was no answer.
   int m_Status = 200;
+  /// At a client: false when the request cannot have reached the server.
+  bool m_WasSent = true;
   std::map<std::string, std::string> m_Headers;
   std::string m_ContentType = "application/json";
   std::string m_Body;
--- a/packages/message/types/messages.h
+++ b/packages/message/types/messages.h
@@ -4,6 +4,7 @@
 #include "core/types/ids.h"
 #include "core/types/resultcode.h"
 #include "core/types/time.h"
+#include "message/types/placement.h"
 
 #include <string>
 #include <variant>
@@ -138,11 +139,22 @@
   std::string m_Text;
 };
 
+/// Entry to entry: cancel the job that a caller named, if it is here.
+struct CancelNamed {
+  std::string m_Name;
+};
+
+struct CancelNamedReply {
+  std::string m_Name;
+  bool m_WasKnown = false;
+};
+
 using Message =
     std::variant<Hello, Heartbeat, Goodbye, BackendState, CreditGrant,
                  CreditWithdraw, Demand, Start, StartRefused, TaskDone, StopJob,
                  EntryList, ConfigurationNotice, ConfigurationRequest,
-                 ConfigurationBody>;
+                 ConfigurationBody, WorkerReport, PlaceTasks, TaskEnds,
+                 CancelNamed, CancelNamedReply>;
 
 /// A message with what a link needs to deliver it once and in order.
 struct Envelope {
--- /dev/null
+++ b/packages/message/types/placement.h
@@ -0,0 +1,99 @@
+#ifndef CYCLAMENWALK_MESSAGE_TYPES_PLACEMENT_H
+#define CYCLAMENWALK_MESSAGE_TYPES_PLACEMENT_H
+
+#include "core/types/ids.h"
+#include "core/types/room.h"
+#include "core/types/time.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace cyclamenwalk {
+
+/// Tasks that wait at an agent and have to start within a time.
+struct WaitingWork {
+  /// Time left until the latest useful start, from when the report was made.
+  Duration m_StartWithin{};
+  /// Expected core time of these tasks, in millicores times milliseconds.
+  std::int64_t m_MilliCoreMs = 0;
+};
+
+/// Agent to entry: what its worker has room for.
+struct WorkerReport {
+  std::string m_Service;
+  /// The rack or switch that the worker shares with others.
+  std::string m_Rack;
+  Room m_Capacity;
+  Room m_Free;
+  bool m_IsAccepting = false;
+  /// Run time of tasks here against their estimates, percent.
+  std::uint32_t m_SlownessPercent = 100;
+  /// Expected time until a running task ends, averaged over room in use.
+  Duration m_MeanRemaining{};
+  std::vector<WaitingWork> m_Waiting;
+  /// Tasks placed by the receiver that the report accounts for, counted over
+  /// the life of the link.
+  std::uint64_t m_PlacedSeen = 0;
+};
+
+/// One task of a placement.
+struct PlacedTask {
+  std::uint32_t m_Index = 0;
+  /// Grows with each start of the task.
+  std::uint32_t m_Run = 0;
+};
+
+/// Entry to agent: run these tasks of a job as soon as there is room.
+struct PlaceTasks {
+  JobId m_Job;
+  /// The name under which the backend server knows the job.
+  std::string m_Name;
+  std::string m_Service;
+  std::string m_Spec;
+  Room m_Need;
+  std::vector<PlacedTask> m_Tasks;
+  /// Expected run time of one task on a worker of ordinary speed.
+  Duration m_Expected{};
+  /// Time left until the latest start with which the job meets its objective.
+  Duration m_StartWithin{};
+  /// Time left until the answer is of no use to the caller.
+  Duration m_Remaining{};
+  /// Whether the tasks shall also start when the objective cannot be met.
+  bool m_MayStartLate = false;
+};
+
+/// How a run of a task ended, or that it did not begin.
+enum class RunEnd : std::uint8_t {
+  Succeeded,
+  Failed,
+  /// Ended by the agent on request.
+  Stopped,
+  /// Ended because the agent did not renew its lease.
+  Lapsed,
+  /// The backend server is gone, and the run with it.
+  BackendGone,
+  /// Never started and never will.
+  NotStarted,
+  /// As NotStarted, because the backend server has seen a higher run.
+  RunTooLow,
+  Count
+};
+
+struct TaskEnd {
+  JobId m_Job;
+  std::uint32_t m_Index = 0;
+  std::uint32_t m_Run = 0;
+  RunEnd m_How = RunEnd::NotStarted;
+  Duration m_RunTime{};
+};
+
+/// Agent to entry: runs that have ended, with the worker's state after them.
+struct TaskEnds {
+  std::vector<TaskEnd> m_Ends;
+  WorkerReport m_Report;
+};
+
+} // namespace cyclamenwalk
+
+#endif // CYCLAMENWALK_MESSAGE_TYPES_PLACEMENT_H
--- a/packages/metrics/internal/metricsregistry.cpp
+++ b/packages/metrics/internal/metricsregistry.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 #include <vector>
@@ -51,6 +52,19 @@
     {"store_errors", "Calls of the platform's service without answer."},
 }};
 
+constexpr std::size_t TimingCount = static_cast<std::size_t>(Timing::Count);
+
+/// In the order of the enumeration.
+constexpr std::array<MetricText, TimingCount> TimingTexts{{
+    {"batch_job_seconds", "From the submission of a batch job to its answer."},
+    {"task_wait_seconds", "From the placement of a task to its start."},
+    {"start_order_seconds", "From a start order to the server's reply."},
+}};
+
+/// Upper bounds of the buckets of latencies, in seconds.
+const prometheus::Histogram::BucketBoundaries LatencyBounds{
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5};
+
 } // namespace
 
 std::string metricName(Metric What) {
@@ -69,6 +83,19 @@
                            .Labels(m_Labels)
                            .Register(m_Registry)
                            .Add({});
+    for (std::size_t I = 0; I < TimingCount; ++I)
+      m_Histograms[I] = &prometheus::BuildHistogram()
+                             .Name(std::string("cyclamenwalk_") +
+                                   TimingTexts[I].m_Name)
+                             .Help(TimingTexts[I].m_Help)
+                             .Labels(m_Labels)
+                             .Register(m_Registry)
+                             .Add({}, LatencyBounds);
+  }
+
+  void observe(Timing What, Duration Taken) {
+    m_Histograms[static_cast<std::size_t>(What)]->Observe(
+        std::chrono::duration<double>(Taken).count());
   }
 
   void addGauge(const std::string &Name, const std::string &Help,
@@ -102,6 +129,7 @@
   const prometheus::Labels m_Labels;
   prometheus::Registry m_Registry;
   std::array<prometheus::Counter *, MetricCount> m_Counters{};
+  std::array<prometheus::Histogram *, TimingCount> m_Histograms{};
   std::vector<GaugeSource> m_Gauges;
 };
 
@@ -114,6 +142,10 @@
   m_Impl->count(What, Amount);
 }
 
+void MetricsRegistry::observe(Timing What, Duration Taken) {
+  m_Impl->observe(What, Taken);
+}
+
 void MetricsRegistry::addGauge(const std::string &Name, const std::string &Help,
                                std::function<double()> Value) {
   m_Impl->addGauge(Name, Help, std::move(Value));
--- a/packages/metrics/metricsregistry.h
+++ b/packages/metrics/metricsregistry.h
@@ -9,7 +9,7 @@
 
 namespace cyclamenwalk {
 
-/// The counters of a process, kept and rendered by prometheus-cpp.
+/// The counters and latencies of a process, kept and rendered by prometheus-cpp.
 class MetricsRegistry final : public IMetrics {
 public:
   /// \p Process and \p Domain label every series.
@@ -17,6 +17,7 @@
   ~MetricsRegistry() override;
 
   void count(Metric What, std::uint64_t Amount = 1) override;
+  void observe(Timing What, Duration Taken) override;
 
   /// Adds a gauge whose \p Value is asked for at each rendering, on the
   /// rendering thread.
--- /dev/null
+++ b/packages/policy/internal/placement.cpp
@@ -0,0 +1,122 @@
+#include "policy/types/placement.h"
+
+#include <algorithm>
+
+namespace cyclamenwalk {
+
+namespace {
+
+/// Part of the slack that a job of each priority may spend on waiting.
+constexpr double FirstPriorityShare = 1.0;
+constexpr double ShareLessPerPriority = 0.1;
+constexpr double LeastShare = 0.5;
+/// Keeps apart workers that would finish at the same time: the emptier wins.
+constexpr Duration LoadTieBreak = milliseconds(4);
+
+Duration scaled(Duration Span, double Factor) {
+  return Duration(
+      static_cast<Duration::rep>(static_cast<double>(Span.count()) * Factor));
+}
+
+double usedShare(const PlacementWorker &Worker) {
+  auto Capacity = static_cast<double>(Worker.m_Capacity.m_MilliCores);
+  auto Free = static_cast<double>(Worker.m_Free.m_MilliCores);
+  return Capacity > 0 ? 1 - Free / Capacity : 1;
+}
+
+Duration runTime(const PlacementWorker &Worker, const PlacementJob &Job) {
+  bool IsRemote = !Job.m_Rack.empty() && Job.m_Rack != Worker.m_Rack;
+  return scaled(Job.m_Expected,
+                Worker.m_Slowness * (IsRemote ? Job.m_RemotePenalty : 1));
+}
+
+using Score = std::function<Duration(const PlacementWorker &, Duration Wait)>;
+
+PlacementPlan placeByScore(std::vector<PlacementWorker> Workers,
+                           const PlacementJob &Job, const Score &Rate) {
+  PlacementPlan Plan;
+  std::erase_if(Workers, [&Job](const PlacementWorker &Known) {
+    return !Known.m_Capacity.holds(Job.m_Need);
+  });
+  if (Workers.empty())
+    return Plan;
+  for (std::uint32_t I = 0; I < Job.m_Tasks; ++I) {
+    PlacementWorker *Best = nullptr;
+    Duration BestScore = Duration::max();
+    Duration BestWait{};
+    for (PlacementWorker &Known : Workers) {
+      Duration Wait = forecastWait(Known, Job);
+      Duration Rated = Rate(Known, Wait);
+      if (Rated >= BestScore)
+        continue;
+      Best = &Known;
+      BestScore = Rated;
+      BestWait = Wait;
+    }
+    Plan.m_Agents.push_back(Best->m_Agent);
+    Plan.m_LongestWait = std::max(Plan.m_LongestWait, BestWait);
+    Plan.m_Finish = std::max(Plan.m_Finish, BestWait + runTime(*Best, Job));
+    countTask(*Best, Job, Job.m_StartWithin);
+  }
+  return Plan;
+}
+
+} // namespace
+
+Duration forecastWait(const PlacementWorker &Worker, const PlacementJob &Job) {
+  std::int64_t Ahead = 0;
+  for (const WaitingWork &Waiting : Worker.m_Waiting)
+    if (Waiting.m_StartWithin <= Job.m_StartWithin)
+      Ahead += Waiting.m_MilliCoreMs;
+  if (Ahead == 0 && Worker.m_Free.holds(Job.m_Need))
+    return Duration::zero();
+  std::int64_t Capacity =
+      std::max<std::int64_t>(1, Worker.m_Capacity.m_MilliCores);
+  // Running tasks free the missing cores at an even pace over twice their
+  // mean remaining time.
+  std::int64_t Free = std::max<std::int64_t>(0, Worker.m_Free.m_MilliCores);
+  std::int64_t Missing =
+      std::max<std::int64_t>(0, Job.m_Need.m_MilliCores - Free);
+  auto UntilRoom =
+      scaled(Worker.m_MeanRemaining * 2,
+             static_cast<double>(Missing) / static_cast<double>(Capacity));
+  return UntilRoom + milliseconds(Ahead / Capacity);
+}
+
+void countTask(PlacementWorker &Worker, const PlacementJob &Job,
+               Duration StartWithin) {
+  if (Worker.m_Free.holds(Job.m_Need)) {
+    Worker.m_Free -= Job.m_Need;
+    return;
+  }
+  Worker.m_Waiting.push_back(
+      {StartWithin, Job.m_Need.m_MilliCores * toMilliseconds(Job.m_Expected)});
+}
+
+PlacementPlan placeByEarliestFinish(std::vector<PlacementWorker> Workers,
+                                    const PlacementJob &Job) {
+  return placeByScore(std::move(Workers), Job,
+                      [&Job](const PlacementWorker &Known, Duration Wait) {
+                        return Wait + runTime(Known, Job) +
+                               scaled(LoadTieBreak, usedShare(Known));
+                      });
+}
+
+PlacementPlan placeByLeastLoad(std::vector<PlacementWorker> Workers,
+                               const PlacementJob &Job) {
+  return placeByScore(std::move(Workers), Job,
+                      [](const PlacementWorker &Known, Duration) {
+                        return scaled(seconds(1), usedShare(Known));
+                      });
+}
+
+bool admitWithinObjective(const ObjectiveView &View) {
+  double Share = std::max(LeastShare, FirstPriorityShare -
+                                          ShareLessPerPriority *
+                                              View.m_Priority);
+  return View.m_LongestWait <= scaled(View.m_StartWithin, Share);
+}
+
+bool admitAlways(const ObjectiveView &) { return true; }
+
+} // namespace cyclamenwalk
--- /dev/null
+++ b/packages/policy/types/placement.h
@@ -0,0 +1,92 @@
+#ifndef CYCLAMENWALK_POLICY_TYPES_PLACEMENT_H
+#define CYCLAMENWALK_POLICY_TYPES_PLACEMENT_H
+
+#include "core/types/ids.h"
+#include "core/types/room.h"
+#include "core/types/time.h"
+#include "message/types/placement.h"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace cyclamenwalk {
+
+/// A worker as the choice of a place sees it.
+struct PlacementWorker {
+  Incarnation m_Agent;
+  std::string m_Rack;
+  Room m_Capacity;
+  /// What is free after all that was sent there; negative while tasks wait.
+  Room m_Free;
+  /// Run time of tasks there against others; 1 for an ordinary worker.
+  double m_Slowness = 1;
+  /// Expected time until a running task ends.
+  Duration m_MeanRemaining{};
+  std::vector<WaitingWork> m_Waiting;
+};
+
+/// The tasks of one job, which are alike.
+struct PlacementJob {
+  std::uint32_t m_Tasks = 1;
+  Room m_Need;
+  Duration m_Expected{};
+  /// Time until the latest start with which the objective is met.
+  Duration m_StartWithin{};
+  /// The rack on which the data lies; empty for none.
+  std::string m_Rack;
+  /// Factor on the run time on any other rack.
+  double m_RemotePenalty = 1;
+};
+
+/// A worker for each task; none when no worker can ever hold one.
+struct PlacementPlan {
+  std::vector<Incarnation> m_Agents;
+  /// The wait of the task that starts last.
+  Duration m_LongestWait{};
+  /// When the last task ends, from now.
+  Duration m_Finish{};
+};
+
+using Placement = std::function<PlacementPlan(std::vector<PlacementWorker>,
+                                              const PlacementJob &)>;
+
+/// Expected wait of one more task at \p Worker behind what starts before it.
+Duration forecastWait(const PlacementWorker &Worker, const PlacementJob &Job);
+
+/// Counts one more task of \p Job at \p Worker, in its room or in its queue.
+void countTask(PlacementWorker &Worker, const PlacementJob &Job,
+               Duration StartWithin);
+
+/// For wide jobs on workers of unequal speed: each task goes where it is
+/// expected to end first, given the tasks of the job placed before it.
+PlacementPlan placeByEarliestFinish(std::vector<PlacementWorker> Workers,
+                                    const PlacementJob &Job);
+
+/// The baseline: each task goes where the largest share of cores is free.
+PlacementPlan placeByLeastLoad(std::vector<PlacementWorker> Workers,
+                               const PlacementJob &Job);
+
+/// What the admission of a job that was planned is decided on.
+struct ObjectiveView {
+  Duration m_LongestWait{};
+  /// Time until the latest start with which the objective is met.
+  Duration m_StartWithin{};
+  /// Zero goes first.
+  std::uint32_t m_Priority = 0;
+};
+
+using ObjectiveAdmission = std::function<bool(const ObjectiveView &)>;
+
+/// For bursts: a job that would miss its objective is refused on arrival, so
+/// that those behind it can still meet theirs. Lower priorities keep a
+/// distance from the limit, which leaves room for higher ones.
+bool admitWithinObjective(const ObjectiveView &View);
+
+/// The baseline: admits everything.
+bool admitAlways(const ObjectiveView &View);
+
+} // namespace cyclamenwalk
+
+#endif // CYCLAMENWALK_POLICY_TYPES_PLACEMENT_H
--- a/packages/process/internal/signalwatch.cpp
+++ b/packages/process/internal/signalwatch.cpp
@@ -13,6 +13,7 @@
     sigemptyset(&m_Signals);
     sigaddset(&m_Signals, SIGTERM);
     sigaddset(&m_Signals, SIGINT);
+    sigaddset(&m_Signals, SIGHUP);
     // Ends the watching thread.
     sigaddset(&m_Signals, SIGUSR1);
     pthread_sigmask(SIG_BLOCK, &m_Signals, nullptr);
@@ -28,13 +29,17 @@
     m_Thread.join();
   }
 
-  void start(std::function<void()> Received) {
-    m_Thread = std::thread([this, Received = std::move(Received)] {
-      int Signal = 0;
-      while (sigwait(&m_Signals, &Signal) == 0 && !m_IsEnding)
-        if (Signal != SIGUSR1)
-          Received();
-    });
+  void start(std::function<void()> Ending, std::function<void()> Reload) {
+    m_Thread = std::thread(
+        [this, Ending = std::move(Ending), Reload = std::move(Reload)] {
+          int Signal = 0;
+          while (sigwait(&m_Signals, &Signal) == 0 && !m_IsEnding) {
+            if (Signal == SIGHUP && Reload)
+              Reload();
+            else if (Signal == SIGTERM || Signal == SIGINT)
+              Ending();
+          }
+        });
   }
 
 private:
@@ -46,8 +51,9 @@
 SignalWatch::SignalWatch() : m_Impl(std::make_unique<Impl>()) {}
 SignalWatch::~SignalWatch() = default;
 
-void SignalWatch::start(std::function<void()> Received) {
-  m_Impl->start(std::move(Received));
+void SignalWatch::start(std::function<void()> Ending,
+                        std::function<void()> Reload) {
+  m_Impl->start(std::move(Ending), std::move(Reload));
 }
 
 } // namespace cyclamenwalk
--- a/packages/process/signalwatch.h
+++ b/packages/process/signalwatch.h
@@ -6,15 +6,16 @@
 
 namespace cyclamenwalk {
 
-/// Waits for SIGTERM and SIGINT on a thread of its own. Made before any other
+/// Waits for SIGTERM, SIGINT and SIGHUP on a thread of its own. Made before any other
 /// thread, so that all inherit the blocked signals.
 class SignalWatch {
 public:
   SignalWatch();
   ~SignalWatch();
 
-  /// Calls \p Received on the watching thread for each signal from now on.
-  void start(std::function<void()> Received);
+  /// Calls \p Ending on the watching thread for each SIGTERM and SIGINT from
+  /// now on, and \p Reload for each SIGHUP.
+  void start(std::function<void()> Ending, std::function<void()> Reload = {});
 
 private:
   class Impl;
--- a/packages/protocol/internal/codec.cpp
+++ b/packages/protocol/internal/codec.cpp
@@ -26,7 +26,9 @@
 
   void put(std::uint64_t Value) { m_Packer.pack(Value); }
   void put(std::uint32_t Value) { m_Packer.pack(Value); }
+  void put(std::int64_t Value) { m_Packer.pack(Value); }
   void put(bool Value) { m_Packer.pack(Value); }
+  void put(RunEnd Value) { m_Packer.pack(static_cast<unsigned>(Value)); }
   void put(const std::string &Value) { m_Packer.pack(Value); }
   void put(Duration Value) { m_Packer.pack(std::int64_t(Value.count())); }
   void put(Role Value) { m_Packer.pack(static_cast<int>(Value)); }
@@ -59,7 +61,16 @@
   void get(const msgpack::object &From, std::uint32_t &Value) {
     From.convert(Value);
   }
+  void get(const msgpack::object &From, std::int64_t &Value) {
+    From.convert(Value);
+  }
   void get(const msgpack::object &From, bool &Value) { From.convert(Value); }
+  void get(const msgpack::object &From, RunEnd &Value) {
+    auto Number = From.as<unsigned>();
+    if (Number >= static_cast<unsigned>(RunEnd::Count))
+      failMalformed("unknown end of a run");
+    Value = static_cast<RunEnd>(Number);
+  }
   void get(const msgpack::object &From, std::string &Value) {
     From.convert(Value);
   }
--- a/packages/protocol/internal/fields.h
+++ b/packages/protocol/internal/fields.h
@@ -56,6 +56,35 @@
 template <typename Call> void fields(ConfigurationBody &M, Call &&All) {
   All(M.m_Version, M.m_Text);
 }
+template <typename Call> void fields(Room &M, Call &&All) {
+  All(M.m_MilliCores, M.m_MemoryMb, M.m_Gpus);
+}
+template <typename Call> void fields(WaitingWork &M, Call &&All) {
+  All(M.m_StartWithin, M.m_MilliCoreMs);
+}
+template <typename Call> void fields(WorkerReport &M, Call &&All) {
+  All(M.m_Service, M.m_Rack, M.m_Capacity, M.m_Free, M.m_IsAccepting,
+      M.m_SlownessPercent, M.m_MeanRemaining, M.m_Waiting, M.m_PlacedSeen);
+}
+template <typename Call> void fields(PlacedTask &M, Call &&All) {
+  All(M.m_Index, M.m_Run);
+}
+template <typename Call> void fields(PlaceTasks &M, Call &&All) {
+  All(M.m_Job, M.m_Name, M.m_Service, M.m_Spec, M.m_Need, M.m_Tasks,
+      M.m_Expected, M.m_StartWithin, M.m_Remaining, M.m_MayStartLate);
+}
+template <typename Call> void fields(TaskEnd &M, Call &&All) {
+  All(M.m_Job, M.m_Index, M.m_Run, M.m_How, M.m_RunTime);
+}
+template <typename Call> void fields(TaskEnds &M, Call &&All) {
+  All(M.m_Ends, M.m_Report);
+}
+template <typename Call> void fields(CancelNamed &M, Call &&All) {
+  All(M.m_Name);
+}
+template <typename Call> void fields(CancelNamedReply &M, Call &&All) {
+  All(M.m_Name, M.m_WasKnown);
+}
 template <typename Call> void fields(Incarnation &M, Call &&All) {
   All(M.m_Value);
 }
--- /dev/null
+++ b/packages/worker/ibackendcontrol.h
@@ -0,0 +1,24 @@
+#ifndef CYCLAMENWALK_WORKER_IBACKENDCONTROL_H
+#define CYCLAMENWALK_WORKER_IBACKENDCONTROL_H
+
+#include "worker/types/backend.h"
+
+#include <functional>
+
+namespace cyclamenwalk {
+
+/// Gives orders to a backend server. Called on the control thread, which is
+/// also where the replies are given, each once.
+class IBackendControl {
+public:
+  virtual ~IBackendControl() = default;
+
+  virtual void start(StartOrder Order,
+                     std::function<void(OrderReply)> Done) = 0;
+  virtual void stop(StopOrder Order, std::function<void(OrderReply)> Done) = 0;
+  virtual void hold(HoldOrder Order, std::function<void(HoldReply)> Done) = 0;
+};
+
+} // namespace cyclamenwalk
+
+#endif // CYCLAMENWALK_WORKER_IBACKENDCONTROL_H
--- /dev/null
+++ b/packages/worker/internal/backendsession.cpp
@@ -0,0 +1,505 @@
+#include "worker/internal/backendsession.h"
+
+#include "core/log.h"
+
+#include <algorithm>
+
+namespace cyclamenwalk {
+
+namespace {
+
+/// Unanswered holds after which the lease is no longer renewed, so that runs
+/// are known to be over a lease later.
+constexpr std::uint32_t MaxUnansweredRenewals = 2;
+/// A run that was asked to stop is asked again after this time.
+constexpr Duration StopRepeat = milliseconds(100);
+/// Weight of one run time in the running mean.
+constexpr double SlownessWeight = 0.1;
+constexpr double LeastRatio = 0.2;
+constexpr double GreatestRatio = 8;
+/// A run counts as overdue from this multiple of its expected time.
+constexpr double OverdueRatio = 2;
+/// Runs that the learned mean stands for beside those that are overdue.
+constexpr double LearnedRuns = 10;
+constexpr double Percent = 100;
+
+double ratio(Duration Actual, Duration Expected) {
+  double Quotient = static_cast<double>(Actual.count()) /
+                    static_cast<double>(std::max<Duration::rep>(
+                        1, Expected.count()));
+  return std::clamp(Quotient, LeastRatio, GreatestRatio);
+}
+
+RunEvent eventOf(OrderOutcome Outcome) {
+  switch (Outcome) {
+  case OrderOutcome::Done:
+    return RunEvent::Accepted;
+  case OrderOutcome::Fenced:
+  case OrderOutcome::LeaseOver:
+    return RunEvent::Fenced;
+  case OrderOutcome::RunTooLow:
+    return RunEvent::TooLow;
+  case OrderOutcome::Refused:
+  case OrderOutcome::WrongInstance:
+  case OrderOutcome::Unreachable:
+    return RunEvent::Refused;
+  case OrderOutcome::Unanswered:
+    return RunEvent::Unanswered;
+  }
+  return RunEvent::Unanswered;
+}
+
+const char *nameOf(RunEnd How) {
+  switch (How) {
+  case RunEnd::Succeeded:
+    return "succeeded";
+  case RunEnd::Failed:
+    return "failed";
+  case RunEnd::Stopped:
+    return "stopped";
+  case RunEnd::Lapsed:
+    return "lapsed";
+  case RunEnd::BackendGone:
+    return "backend_gone";
+  case RunEnd::NotStarted:
+    return "not_started";
+  case RunEnd::RunTooLow:
+    return "run_too_low";
+  case RunEnd::Count:
+    break;
+  }
+  return "unknown";
+}
+
+} // namespace
+
+BackendSession::BackendSession(BackendAnnouncement Said,
+                               WorkerSettings Settings,
+                               const WorkerDependencies &Needs, Hooks Calls)
+    : m_Said(std::move(Said)), m_Settings(Settings),
+      m_Control(Needs.m_Control), m_Timers(Needs.m_Timers),
+      m_Metrics(Needs.m_Metrics), m_Hooks(std::move(Calls)),
+      m_Chart(bindSession(Needs.m_Charts)),
+      m_RunChart(bindRun(Needs.m_Charts)), m_Ledger(m_Said.m_Capacity),
+      m_Token(Needs.m_FirstToken()), m_LeaseSentAt(m_Timers.now()) {
+  m_Context.m_State = m_Chart.initial();
+  logEvent(LogLevel::Info, "backend.found",
+           {{"instance", m_Said.m_Instance},
+            {"service", m_Said.m_Service},
+            {"millicores", m_Said.m_Capacity.m_MilliCores},
+            {"memory_mb", m_Said.m_Capacity.m_MemoryMb},
+            {"token", m_Token}});
+  hold(true);
+}
+
+BackendSession::~BackendSession() {
+  m_Timers.cancel(m_LookTimer);
+  for (const RunPointer &Known : m_Ledger.all())
+    m_Timers.cancel(Known->m_ExpiryTimer);
+}
+
+BackendSession::SessionChart
+BackendSession::bindSession(const IChartSource &Charts) {
+  return SessionChart(Charts.chart("session"), {},
+                      {{"serve", [this](Context &) { startWaiting(); }},
+                       {"endStrangers", [this](Context &) { endStrangers(); }},
+                       {"dropWaiting", [this](Context &) { dropWaiting(); }},
+                       {"loseRuns", [this](Context &) { loseRuns(); }}});
+}
+
+RunChart BackendSession::bindRun(const IChartSource &Charts) {
+  return RunChart(
+      Charts.chart("run"), {},
+      {{"sendStart", [this](Run &R) { sendStart(R); }},
+       {"sendStop", [this](Run &R) { sendStop(R); }},
+       {"queueAgain", [this](Run &R) { queueAgain(R); }},
+       {"fence", [this](Run &R) { fence(R); }},
+       {"report", [this](Run &R) { finish(R, R.m_How); }},
+       {"reportNotStarted", [this](Run &R) { finish(R, RunEnd::NotStarted); }},
+       {"reportTooLow", [this](Run &R) { finish(R, RunEnd::RunTooLow); }},
+       {"reportGone", [this](Run &R) { finish(R, RunEnd::BackendGone); }}});
+}
+
+void BackendSession::fire(SessionEvent What) {
+  SessionState Before = m_Context.m_State;
+  m_Chart.fire(m_Context, What);
+  if (Before == m_Context.m_State)
+    return;
+  auto State = static_cast<std::size_t>(m_Context.m_State);
+  logEvent(LogLevel::Info, "backend.state",
+           {{"instance", m_Said.m_Instance},
+            {"state", std::string(ChartNames<SessionState>::Values[State])},
+            {"runs", m_Ledger.size()},
+            {"token", m_Token}});
+  m_Hooks.m_Changed();
+}
+
+void BackendSession::fireRun(const RunPointer &Known, RunEvent What) {
+  bool HeldRoom = holdsRoom(*Known);
+  m_RunChart.fire(*Known, What);
+  bool HoldsRoom = holdsRoom(*Known);
+  if (HoldsRoom && !HeldRoom)
+    m_Ledger.occupy(*Known);
+  if (HeldRoom && !HoldsRoom)
+    m_Ledger.release(*Known);
+  if (Known->m_State == RunState::Running && Known->m_StartedAt == TimePoint{})
+    Known->m_StartedAt = m_Timers.now();
+  if (Known->m_State != RunState::Ended)
+    return;
+  m_Timers.cancel(Known->m_ExpiryTimer);
+  m_Ledger.erase(*Known);
+  m_Hooks.m_Ended(*Known);
+}
+
+void BackendSession::renew(const BackendAnnouncement &Said) {
+  bool IsOutdated = Said.m_Sequence < m_Said.m_Sequence;
+  if (IsOutdated)
+    return;
+  m_Said = Said;
+  m_Ledger.setCapacity(Said.m_Capacity);
+  if (Said.m_IsLeaving)
+    leave();
+}
+
+void BackendSession::leave() { fire(SessionEvent::Leave); }
+
+void BackendSession::lose(const std::string &Reason) {
+  if (isGone())
+    return;
+  logEvent(LogLevel::Warning, "backend.lost",
+           {{"instance", m_Said.m_Instance},
+            {"reason", Reason},
+            {"runs", m_Ledger.size()}});
+  fire(SessionEvent::Lost);
+}
+
+void BackendSession::loseRuns() {
+  for (const RunPointer &Known : m_Ledger.all())
+    fireRun(Known, RunEvent::Lost);
+}
+
+void BackendSession::dropWaiting() {
+  for (const RunPointer &Known : m_Ledger.all())
+    fireRun(Known, RunEvent::Expire);
+}
+
+void BackendSession::place(const std::shared_ptr<const PlacedJob> &Job,
+                           PlacedTask Task) {
+  auto Added = std::make_shared<Run>();
+  Added->m_State = m_RunChart.initial();
+  Added->m_Job = Job;
+  Added->m_Task = Task;
+  Added->m_Name = {Job->m_Name + "." + std::to_string(Task.m_Index),
+                   Task.m_Run};
+  m_Ledger.add(Added);
+  m_Ledger.queue(Added);
+  RunName Name = Added->m_Name;
+  Added->m_ExpiryTimer = m_Timers.subscribe(
+      m_Settings.m_LongestWait, [this, Name] { expire(Name); });
+  startWaiting();
+}
+
+void BackendSession::expire(const RunName &Name) {
+  if (RunPointer Known = m_Ledger.find(Name))
+    fireRun(Known, RunEvent::Expire);
+}
+
+void BackendSession::stopRuns(const std::function<bool(const Run &)> &IsMeant) {
+  for (const RunPointer &Known : m_Ledger.all())
+    if (IsMeant(*Known))
+      fireRun(Known, RunEvent::Stop);
+  startWaiting();
+}
+
+void BackendSession::startWaiting() {
+  while (isServing()) {
+    RunPointer Next = m_Ledger.nextToStart();
+    if (!Next)
+      break;
+    m_Ledger.unqueue(*Next);
+    // A pause of this process must not let a run start long after its entry
+    // may have given it up.
+    bool IsStale =
+        m_Timers.now() - Next->m_Job->m_PlacedAt >= m_Settings.m_LongestWait;
+    fireRun(Next, IsStale ? RunEvent::Expire : RunEvent::Start);
+  }
+  m_Hooks.m_Changed();
+}
+
+void BackendSession::sendStart(Run &Started) {
+  m_Metrics.count(Metric::StartsExecuted);
+  Started.m_OrderToken = m_Token;
+  StartOrder Order{target(), Started.m_Name, Started.m_Job->m_Spec,
+                   leaseUntil()};
+  RunName Name = Started.m_Name;
+  std::uint64_t Token = m_Token;
+  TimePoint SentAt = m_Timers.now();
+  m_Metrics.observe(Timing::TaskWait, SentAt - Started.m_Job->m_PlacedAt);
+  std::weak_ptr<bool> Alive = m_Alive;
+  m_Control.start(std::move(Order),
+                  [this, Alive, Name, Token, SentAt](const OrderReply &Reply) {
+                    if (Alive.expired())
+                      return;
+                    m_Metrics.observe(Timing::StartOrder,
+                                      m_Timers.now() - SentAt);
+                    receiveStarted(Name, Token, Reply);
+                  });
+}
+
+void BackendSession::receiveStarted(const RunName &Name, std::uint64_t Token,
+                                    const OrderReply &Reply) {
+  noteClock(Reply.m_Clock);
+  RunPointer Known = m_Ledger.find(Name);
+  bool IsCurrent = Known && Known->m_OrderToken == Token;
+  if (Reply.m_Outcome != OrderOutcome::Done)
+    logEvent(LogLevel::Warning, "run.order_failed",
+             {{"task", Name.m_Task},
+              {"run", Name.m_Run},
+              {"outcome", static_cast<int>(Reply.m_Outcome)},
+              {"token", Token}});
+  if (IsCurrent)
+    fireRun(Known, eventOf(Reply.m_Outcome));
+  if (Reply.m_Outcome == OrderOutcome::Unreachable)
+    lose("nothing listens at its address");
+  else if (Reply.m_Outcome == OrderOutcome::WrongInstance)
+    lose("another life answers");
+  else if (Reply.m_Outcome != OrderOutcome::Done)
+    startWaiting();
+}
+
+void BackendSession::sendStop(Run &Stopped) {
+  TimePoint Now = m_Timers.now();
+  bool IsRecent = Stopped.m_StopSentAt != TimePoint{} &&
+                  Now - Stopped.m_StopSentAt < StopRepeat;
+  if (IsRecent)
+    return;
+  Stopped.m_StopSentAt = Now;
+  std::weak_ptr<bool> Alive = m_Alive;
+  // The list of ends tells when it has stopped; a lost order is repeated.
+  m_Control.stop({target(), Stopped.m_Name},
+                 [this, Alive](const OrderReply &Reply) {
+                   if (!Alive.expired())
+                     noteClock(Reply.m_Clock);
+                 });
+}
+
+void BackendSession::queueAgain(Run &Waiting) {
+  m_Ledger.queue(m_Ledger.find(Waiting.m_Name));
+}
+
+void BackendSession::finish(Run &Ended, RunEnd How) {
+  Ended.m_How = How;
+  Duration RunTime{};
+  if (Ended.m_StartedAt != TimePoint{})
+    RunTime = m_Timers.now() - Ended.m_StartedAt;
+  if (How == RunEnd::Succeeded)
+    learnSlowness(Ended, RunTime);
+  logEvent(LogLevel::Info, "run.ended",
+           {{"task", Ended.m_Name.m_Task},
+            {"run", Ended.m_Name.m_Run},
+            {"how", nameOf(How)},
+            {"run_ms", toMilliseconds(RunTime)},
+            {"waited_ms", toMilliseconds(m_Timers.now() - RunTime -
+                                         Ended.m_Job->m_PlacedAt)},
+            {"expected_ms", toMilliseconds(Ended.m_Job->m_Expected)},
+            {"free_millicores", m_Ledger.free().m_MilliCores}});
+}
+
+void BackendSession::learnSlowness(const Run &Ended, Duration RunTime) {
+  double Seen = ratio(RunTime, Ended.m_Job->m_Expected);
+  m_Slowness += SlownessWeight * (Seen - m_Slowness);
+}
+
+/// The learned mean, raised by runs that are overdue now.
+double BackendSession::slowness() const {
+  double Sum = LearnedRuns * m_Slowness;
+  double Count = LearnedRuns;
+  for (const RunPointer &Known : m_Ledger.all()) {
+    if (Known->m_State != RunState::Running)
+      continue;
+    double Seen = ratio(m_Timers.now() - Known->m_StartedAt,
+                        Known->m_Job->m_Expected);
+    if (Seen < OverdueRatio * m_Slowness)
+      continue;
+    Sum += Seen;
+    ++Count;
+  }
+  return Sum / Count;
+}
+
+bool BackendSession::hasOverdue() const {
+  return slowness() > m_Slowness;
+}
+
+void BackendSession::hold(bool IsFence) {
+  if (isGone())
+    return;
+  bool RenewsLease = m_Context.m_State != SessionState::Looking &&
+                     m_Unanswered < MaxUnansweredRenewals;
+  HoldOrder Order;
+  Order.m_To = target();
+  Order.m_LastEnd = m_LastEnd;
+  if (RenewsLease)
+    Order.m_LeaseUntil = leaseUntil();
+  Order.m_Wait = IsFence ? Duration::zero() : m_Settings.m_HoldWait;
+  if (IsFence)
+    m_FencePending = m_Token;
+  TimePoint SentAt = m_Timers.now();
+  std::weak_ptr<bool> Alive = m_Alive;
+  m_Control.hold(Order,
+                 [this, Alive, Order, SentAt, IsFence](const HoldReply &Reply) {
+                   if (!Alive.expired())
+                     receiveHold(Order, SentAt, IsFence, Reply);
+                 });
+}
+
+void BackendSession::receiveHold(const HoldOrder &Sent, TimePoint SentAt,
+                                 bool IsFence, const HoldReply &Reply) {
+  if (isGone())
+    return;
+  if (Reply.m_Outcome != OrderOutcome::Done) {
+    receiveNoHold(IsFence, Reply);
+    return;
+  }
+  m_Unanswered = 0;
+  noteClock(Reply.m_Clock);
+  bool IsReborn = Reply.m_BornAt != Duration::zero() &&
+                  m_Said.m_BornAt != Duration::zero() &&
+                  Reply.m_BornAt != m_Said.m_BornAt;
+  if (IsReborn) {
+    lose("another life with the same name answers");
+    return;
+  }
+  takeLists(Sent, SentAt, IsFence, Reply);
+  if (isGone())
+    return;
+  bool WasLooking = m_Context.m_State == SessionState::Looking;
+  fire(m_Strangers.empty() ? SessionEvent::Empty : SessionEvent::Occupied);
+  bool IsLooking = m_Context.m_State == SessionState::Looking;
+  if (IsLooking)
+    m_LookTimer = m_Timers.subscribe(m_Settings.m_LookPause,
+                                     [this] { hold(true); });
+  else if (WasLooking || !IsFence)
+    hold(false);
+  startWaiting();
+}
+
+void BackendSession::receiveNoHold(bool IsFence, const HoldReply &Reply) {
+  ++m_Unanswered;
+  logEvent(LogLevel::Warning, "backend.hold_failed",
+           {{"instance", m_Said.m_Instance},
+            {"outcome", static_cast<int>(Reply.m_Outcome)},
+            {"failures", m_Unanswered},
+            {"token", m_Token}});
+  if (Reply.m_Outcome == OrderOutcome::Unreachable)
+    return lose("nothing listens at its address");
+  if (Reply.m_Outcome == OrderOutcome::WrongInstance)
+    return lose("another life answers");
+  Duration OverAfter = m_Settings.m_Lease + m_Settings.m_LeaseSlack;
+  if (m_Timers.now() - m_LeaseSentAt > OverAfter)
+    return lose("its lease is over without an answer");
+  if (Reply.m_Outcome == OrderOutcome::Fenced) {
+    m_Token += m_TokenJump;
+    m_TokenJump *= 2;
+  }
+  m_LookTimer = m_Timers.subscribe(m_Settings.m_LookPause,
+                                   [this, IsFence] { hold(IsFence); });
+}
+
+void BackendSession::takeLists(const HoldOrder &Sent, TimePoint SentAt,
+                               bool IsFence, const HoldReply &Reply) {
+  takeEnds(Reply);
+  std::set<RunName> Listed(Reply.m_Running.begin(), Reply.m_Running.end());
+  m_Strangers.clear();
+  for (const RunName &Name : Listed) {
+    if (RunPointer Known = m_Ledger.find(Name))
+      fireRun(Known, RunEvent::Listed);
+    else
+      m_Strangers.push_back(Name);
+  }
+  takeMissing(Sent, SentAt, IsFence, Listed);
+}
+
+void BackendSession::takeEnds(const HoldReply &Reply) {
+  for (const ListedEnd &End : Reply.m_Ended) {
+    if (End.m_Number <= m_LastEnd)
+      continue;
+    m_LastEnd = End.m_Number;
+    RunPointer Known = m_Ledger.find(End.m_Run);
+    if (!Known)
+      continue;
+    Known->m_How = End.m_How;
+    fireRun(Known, RunEvent::Ended);
+  }
+}
+
+/// Draws conclusions from runs that a reply does not list.
+void BackendSession::takeMissing(const HoldOrder &Sent, TimePoint SentAt,
+                                 bool IsFence,
+                                 const std::set<RunName> &Listed) {
+  if (IsFence && m_FencePending <= Sent.m_To.m_FencingToken)
+    m_FencePending = 0;
+  for (const RunPointer &Known : m_Ledger.all()) {
+    if (!holdsRoom(*Known) || Listed.count(Known->m_Name))
+      continue;
+    bool HadStarted =
+        Known->m_StartedAt != TimePoint{} && Known->m_StartedAt < SentAt;
+    bool IsFenced = Known->m_State != RunState::Starting &&
+                    Known->m_OrderToken < Sent.m_To.m_FencingToken;
+    if (HadStarted || IsFenced)
+      fireRun(Known, RunEvent::Missing);
+  }
+}
+
+void BackendSession::fence(const Run &Doubtful) {
+  if (m_FencePending > Doubtful.m_OrderToken)
+    return;
+  ++m_Token;
+  logEvent(LogLevel::Info, "backend.fenced",
+           {{"task", Doubtful.m_Name.m_Task},
+            {"order_token", Doubtful.m_OrderToken},
+            {"token", m_Token}});
+  hold(true);
+}
+
+/// Stops runs that an earlier agent started.
+void BackendSession::endStrangers() {
+  for (const RunName &Name : m_Strangers) {
+    logEvent(LogLevel::Info, "run.stranger",
+             {{"task", Name.m_Task}, {"run", Name.m_Run}});
+    m_Control.stop({target(), Name}, [](const OrderReply &) {});
+  }
+}
+
+OrderTarget BackendSession::target() const {
+  return {m_Said.m_Address, m_Said.m_Instance, m_Token};
+}
+
+void BackendSession::noteClock(Duration ServerClock) {
+  if (ServerClock == Duration::zero())
+    return;
+  m_ServerClock = ServerClock;
+  m_ServerClockAt = m_Timers.now();
+}
+
+Duration BackendSession::leaseUntil() {
+  m_LeaseSentAt = m_Timers.now();
+  return m_ServerClock + (m_Timers.now() - m_ServerClockAt) +
+         m_Settings.m_Lease;
+}
+
+WorkerReport BackendSession::report() const {
+  WorkerReport Report;
+  Report.m_Service = m_Said.m_Service;
+  Report.m_Rack = m_Said.m_Rack;
+  Report.m_Capacity = m_Ledger.capacity();
+  Report.m_Free = m_Ledger.free();
+  Report.m_IsAccepting = isServing();
+  double Slowness = slowness();
+  Report.m_SlownessPercent = static_cast<std::uint32_t>(Percent * Slowness);
+  Report.m_MeanRemaining = m_Ledger.meanRemaining(m_Timers.now(), Slowness);
+  Report.m_Waiting = m_Ledger.waiting(m_Timers.now());
+  return Report;
+}
+
+} // namespace cyclamenwalk
--- /dev/null
+++ b/packages/worker/internal/runledger.cpp
@@ -0,0 +1,101 @@
+#include "worker/internal/runledger.h"
+
+#include <algorithm>
+
+namespace cyclamenwalk {
+
+namespace {
+
+/// Waiting work is reported in steps of this width.
+constexpr Duration WaitingStep = milliseconds(50);
+/// A run that takes longer than expected is taken to need this share of the
+/// expected time more.
+constexpr double OverdueShare = 0.3;
+
+} // namespace
+
+void RunLedger::add(const RunPointer &Added) { m_Runs[Added->m_Name] = Added; }
+
+void RunLedger::erase(const Run &Gone) {
+  unqueue(Gone);
+  m_Runs.erase(RunName(Gone.m_Name));
+}
+
+RunPointer RunLedger::find(const RunName &Name) const {
+  auto Found = m_Runs.find(Name);
+  return Found == m_Runs.end() ? nullptr : Found->second;
+}
+
+std::vector<RunPointer> RunLedger::all() const {
+  std::vector<RunPointer> Runs;
+  Runs.reserve(m_Runs.size());
+  for (const auto &Known : m_Runs)
+    Runs.push_back(Known.second);
+  return Runs;
+}
+
+void RunLedger::queue(const RunPointer &Waiting) {
+  m_Queue.emplace(Waiting->m_Job->m_StartBy, Waiting);
+}
+
+void RunLedger::unqueue(const Run &Taken) {
+  auto Range = m_Queue.equal_range(Taken.m_Job->m_StartBy);
+  for (auto It = Range.first; It != Range.second; ++It) {
+    if (It->second.get() != &Taken)
+      continue;
+    m_Queue.erase(It);
+    return;
+  }
+}
+
+RunPointer RunLedger::nextToStart() const {
+  if (m_Queue.empty())
+    return nullptr;
+  const RunPointer &First = m_Queue.begin()->second;
+  return free().holds(First->m_Job->m_Need) ? First : nullptr;
+}
+
+void RunLedger::occupy(const Run &Started) {
+  m_InUse += Started.m_Job->m_Need;
+}
+
+void RunLedger::release(const Run &Ended) { m_InUse -= Ended.m_Job->m_Need; }
+
+std::vector<WaitingWork> RunLedger::waiting(TimePoint Now) const {
+  std::vector<WaitingWork> Steps;
+  for (const auto &Known : m_Queue) {
+    const PlacedJob &Job = *Known.second->m_Job;
+    Duration Within = Job.m_StartBy - Now;
+    std::int64_t Work =
+        Job.m_Need.m_MilliCores * toMilliseconds(Job.m_Expected);
+    bool IsSameStep = !Steps.empty() &&
+                      Within - Steps.back().m_StartWithin < WaitingStep;
+    if (IsSameStep)
+      Steps.back().m_MilliCoreMs += Work;
+    else
+      Steps.push_back({Within, Work});
+  }
+  return Steps;
+}
+
+Duration RunLedger::meanRemaining(TimePoint Now, double Slowness) const {
+  double Weighted = 0;
+  double Cores = 0;
+  for (const auto &Known : m_Runs) {
+    const Run &Held = *Known.second;
+    if (!holdsRoom(Held))
+      continue;
+    double Expected =
+        static_cast<double>(Held.m_Job->m_Expected.count()) * Slowness;
+    double Elapsed = 0;
+    if (Held.m_StartedAt != TimePoint{})
+      Elapsed = static_cast<double>((Now - Held.m_StartedAt).count());
+    double Share = static_cast<double>(Held.m_Job->m_Need.m_MilliCores);
+    Weighted += Share * std::max(Expected - Elapsed, OverdueShare * Expected);
+    Cores += Share;
+  }
+  return Cores > 0 ? Duration(static_cast<Duration::rep>(Weighted / Cores))
+                   : Duration::zero();
+}
+
+} // namespace cyclamenwalk
--- /dev/null
+++ b/packages/worker/internal/runledger.h
@@ -0,0 +1,57 @@
+#ifndef CYCLAMENWALK_WORKER_INTERNAL_RUNLEDGER_H
+#define CYCLAMENWALK_WORKER_INTERNAL_RUNLEDGER_H
+
+#include "worker/internal/run.h"
+
+#include <map>
+#include <vector>
+
+namespace cyclamenwalk {
+
+/// The runs of one backend server: those that hold room, and those that wait,
+/// in the order of their latest useful start.
+class RunLedger {
+public:
+  explicit RunLedger(Room Capacity) : m_Capacity(Capacity) {}
+
+  const Room &capacity() const { return m_Capacity; }
+  void setCapacity(const Room &Value) { m_Capacity = Value; }
+
+  Room free() const { return m_Capacity - m_InUse; }
+
+  void add(const RunPointer &Added);
+  void erase(const Run &Gone);
+  RunPointer find(const RunName &Name) const;
+  std::vector<RunPointer> all() const;
+  std::size_t size() const { return m_Runs.size(); }
+
+  /// Puts a run into the queue, or takes it out.
+  void queue(const RunPointer &Waiting);
+  void unqueue(const Run &Taken);
+
+  /// The first run of the queue if there is room for it. A large task at the
+  /// head is not overtaken, so that small ones cannot starve it.
+  RunPointer nextToStart() const;
+
+  /// The run takes room from now on, until release().
+  void occupy(const Run &Started);
+  void release(const Run &Ended);
+
+  /// What waits, by the time until the latest useful start.
+  std::vector<WaitingWork> waiting(TimePoint Now) const;
+
+  /// Expected time until a running task ends, weighted by cores.
+  Duration meanRemaining(TimePoint Now, double Slowness) const;
+
+private:
+  using Queue = std::multimap<TimePoint, RunPointer>;
+
+  Room m_Capacity;
+  Room m_InUse;
+  std::map<RunName, RunPointer> m_Runs;
+  Queue m_Queue;
+};
+
+} // namespace cyclamenwalk
+
+#endif // CYCLAMENWALK_WORKER_INTERNAL_RUNLEDGER_H
--- /dev/null
+++ b/packages/worker/internal/workerservice.cpp
@@ -0,0 +1,207 @@
+#include "worker/internal/workerservice.h"
+
+#include "core/log.h"
+
+#include <algorithm>
+
+namespace cyclamenwalk {
+
+WorkerService::WorkerService(WorkerSettings Settings, WorkerDependencies Needs)
+    : m_Settings(Settings), m_Needs(std::move(Needs)),
+      m_Timers(m_Needs.m_Timers) {
+  m_OverdueTimer = m_Timers.subscribeEvery(m_Settings.m_OverduePeriod,
+                                           [this] { checkOverdue(); });
+}
+
+WorkerService::~WorkerService() {
+  m_Timers.cancel(m_FlushTimer);
+  m_Timers.cancel(m_OverdueTimer);
+}
+
+WorkerService::SessionPointer
+WorkerService::findSession(const std::string &Instance) const {
+  for (const SessionPointer &Known : m_Sessions)
+    if (Known->said().m_Instance == Instance)
+      return Known;
+  return nullptr;
+}
+
+WorkerService::SessionPointer WorkerService::current() const {
+  for (auto It = m_Sessions.rbegin(); It != m_Sessions.rend(); ++It)
+    if ((*It)->isServing())
+      return *It;
+  return m_Sessions.empty() ? nullptr : m_Sessions.back();
+}
+
+void WorkerService::announce(const BackendAnnouncement &Said) {
+  SessionPointer Known = findSession(Said.m_Instance);
+  if (!Known)
+    return openSession(Said);
+  Duration Before = Known->said().m_BornAt;
+  bool IsEarlier = Said.m_BornAt < Before;
+  if (IsEarlier)
+    return;
+  bool IsReborn = Said.m_BornAt > Before;
+  if (!IsReborn) {
+    Known->renew(Said);
+    dropGone();
+    return;
+  }
+  Known->lose("its name is used by a later life");
+  openSession(Said);
+}
+
+void WorkerService::openSession(const BackendAnnouncement &Said) {
+  dropGone();
+  // One that is leaving when it is first heard of gets no work.
+  if (Said.m_IsLeaving)
+    return;
+  m_Sessions.push_back(std::make_shared<BackendSession>(
+      Said, m_Settings, m_Needs,
+      BackendSession::Hooks{[this](const Run &Ended) { noteEnd(Ended); },
+                            [this] { noteChange(); }}));
+}
+
+void WorkerService::dropGone() {
+  std::erase_if(m_Sessions,
+                [](const SessionPointer &Known) { return Known->isGone(); });
+}
+
+void WorkerService::withdraw(const std::string &Instance) {
+  if (SessionPointer Known = findSession(Instance)) {
+    Known->lose("it has signed off");
+    dropGone();
+  }
+}
+
+void WorkerService::drain() {
+  m_IsDraining = true;
+  noteChange();
+}
+
+void WorkerService::entryUp(const Peer &Entry) {
+  m_Entries[Entry.m_Incarnation] = {};
+  noteChange();
+}
+
+void WorkerService::entryDown(const Peer &Entry) {
+  m_Entries.erase(Entry.m_Incarnation);
+  for (const SessionPointer &Known : std::vector(m_Sessions))
+    Known->stopRuns([&Entry](const Run &Placed) {
+      return Placed.m_Job->m_Entry == Entry.m_Incarnation;
+    });
+}
+
+void WorkerService::receive(Incarnation Entry, Message &Body) {
+  if (auto *Placed = std::get_if<PlaceTasks>(&Body))
+    receivePlacement(Entry, *Placed);
+  else if (auto *Stop = std::get_if<StopJob>(&Body))
+    stopJob(Stop->m_Job);
+}
+
+void WorkerService::receivePlacement(Incarnation Entry, PlaceTasks &Body) {
+  m_Entries[Entry].m_PlacedSeen += Body.m_Tasks.size();
+  SessionPointer Serving = current();
+  bool IsTaken = Serving && Serving->isServing() && !m_IsDraining &&
+                 Serving->said().m_Service == Body.m_Service;
+  if (!IsTaken)
+    return refuse(Entry, Body);
+  auto Job = std::make_shared<PlacedJob>();
+  Job->m_Job = Body.m_Job;
+  Job->m_Entry = Entry;
+  Job->m_Name = std::move(Body.m_Name);
+  Job->m_Spec = std::move(Body.m_Spec);
+  Job->m_Need = Body.m_Need;
+  Job->m_Expected = Body.m_Expected;
+  Job->m_PlacedAt = m_Timers.now();
+  Job->m_StartBy = m_Timers.now() + Body.m_StartWithin;
+  for (const PlacedTask &Task : Body.m_Tasks)
+    Serving->place(Job, Task);
+}
+
+void WorkerService::refuse(Incarnation Entry, const PlaceTasks &Body) {
+  logEvent(LogLevel::Info, "placement.refused",
+           {{"job", Body.m_Name},
+            {"service", Body.m_Service},
+            {"draining", m_IsDraining ? "yes" : "no"}});
+  for (const PlacedTask &Task : Body.m_Tasks)
+    m_Entries[Entry].m_Ends.push_back(
+        {Body.m_Job, Task.m_Index, Task.m_Run, RunEnd::NotStarted, {}});
+  scheduleFlush(Duration::zero());
+}
+
+void WorkerService::stopJob(JobId Job) {
+  for (const SessionPointer &Known : std::vector(m_Sessions))
+    Known->stopRuns(
+        [Job](const Run &Placed) { return Placed.m_Job->m_Job == Job; });
+}
+
+void WorkerService::noteEnd(const Run &Ended) {
+  auto Owner = m_Entries.find(Ended.m_Job->m_Entry);
+  if (Owner == m_Entries.end())
+    return;
+  Duration RunTime{};
+  if (Ended.m_StartedAt != TimePoint{})
+    RunTime = m_Timers.now() - Ended.m_StartedAt;
+  Owner->second.m_Ends.push_back({Ended.m_Job->m_Job, Ended.m_Task.m_Index,
+                                  Ended.m_Task.m_Run, Ended.m_How, RunTime});
+  scheduleFlush(Duration::zero());
+}
+
+void WorkerService::noteChange() {
+  for (auto &Known : m_Entries)
+    Known.second.m_IsBehind = true;
+  scheduleFlush(m_Settings.m_ReportDelay);
+}
+
+void WorkerService::scheduleFlush(Duration Delay) {
+  TimePoint At = m_Timers.now() + Delay;
+  if (m_FlushTimer != 0 && m_FlushAt <= At)
+    return;
+  m_Timers.cancel(m_FlushTimer);
+  m_FlushAt = At;
+  m_FlushTimer = m_Timers.subscribe(Delay, [this] {
+    m_FlushTimer = 0;
+    flush();
+  });
+}
+
+void WorkerService::flush() {
+  WorkerReport State;
+  if (SessionPointer Known = current())
+    State = Known->report();
+  State.m_IsAccepting = State.m_IsAccepting && !m_IsDraining;
+  for (auto &Known : m_Entries)
+    flushTo(Known.first, Known.second, State);
+}
+
+void WorkerService::flushTo(Incarnation Entry, LinkedEntry &Known,
+                            const WorkerReport &State) {
+  if (Known.m_Ends.empty() && !Known.m_IsBehind)
+    return;
+  Known.m_IsBehind = false;
+  WorkerReport Report = State;
+  Report.m_PlacedSeen = Known.m_PlacedSeen;
+  if (Known.m_Ends.empty()) {
+    m_Needs.m_Links.send(Entry, std::move(Report));
+    return;
+  }
+  TaskEnds Body{std::move(Known.m_Ends), std::move(Report)};
+  Known.m_Ends.clear();
+  m_Needs.m_Links.send(Entry, std::move(Body));
+}
+
+void WorkerService::checkOverdue() {
+  SessionPointer Known = current();
+  if (Known && Known->hasOverdue())
+    noteChange();
+}
+
+std::size_t WorkerService::running() const {
+  std::size_t Count = 0;
+  for (const SessionPointer &Known : m_Sessions)
+    Count += Known->running();
+  return Count;
+}
+
+} // namespace cyclamenwalk
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -20,10 +20,4 @@
   DEBIAN_FRONTEND=noninteractive apt-get install -y -q "${missing[@]}"
 fi
 
-if [ ! -e .cache/prometheus/usr/include/prometheus/registry.h ]; then
-  mkdir -p .cache
-  chmod 755 .cache
-  (cd .cache && { apt-get download -q prometheus-cpp-dev ||
-    { apt-get update -q && apt-get download -q prometheus-cpp-dev; }; })
-  dpkg-deb -x .cache/prometheus-cpp-dev_*.deb .cache/prometheus
-fi
+scripts/prometheusheaders.sh .cache
