Workers' speed by kind, and runs that by their progress cannot end in time

Cause: earliest finish trusted each worker's own run times, which are mostly the error of estimates, and crowded a few workers while others stood idle; jobs longer than the deadline were held to it. Ruled out: ejections (none in the log).

--- a/packages/batch/internal/batchservice.cpp
+++ b/packages/batch/internal/batchservice.cpp
@@ -12,6 +12,8 @@
 /// A task whose run was too low is tried with a number this much higher.
 constexpr std::uint32_t RunJump = 1000;
 constexpr Duration LeastRetryAfter = seconds(1);
+/// Part of the expected run time below which hardly any task ends.
+constexpr double LeastRunPart = 0.45;
 
 Duration scaled(Duration Span, double Factor) {
   return Duration(
@@ -130,9 +132,10 @@
     refuse(Added, ResultCode::NoWorker, LeastRetryAfter);
     return Id;
   }
-  bool IsInTime = m_Hooks.m_Admission({Plan.m_LongestWait, Wanted.m_StartWithin,
-                                       Added.m_Spec.m_Priority}) &&
-                  Plan.m_Finish <= Added.m_Spec.m_Deadline;
+  bool IsInTime = m_Hooks.m_Admission(
+      {Plan.m_LongestWait, Wanted.m_StartWithin, Added.m_Spec.m_Deadline,
+       Wanted.m_Expected, m_Workers.usedShare(Added.m_Spec.m_Service),
+       Added.m_Spec.m_Priority});
   logEvent(LogLevel::Info, IsInTime ? "job.admitted" : "job.not_admitted",
            {{"job", Added.m_Spec.m_Name},
             {"route", Added.m_Spec.m_Route},
@@ -267,7 +270,9 @@
   PlacementJob Wanted = describePlacement(Owner, Unplaced);
   PlacementPlan Plan = plan(Owner, Wanted);
   Duration Remaining = Owner.m_DeadlineAt - m_Timers.now();
-  bool IsOver = Plan.m_Agents.empty() || Plan.m_Finish > Remaining;
+  bool IsOver = Plan.m_Agents.empty() ||
+                Plan.m_LongestWait + scaled(Wanted.m_Expected, LeastRunPart) >
+                    Remaining;
   logEvent(LogLevel::Info, IsOver ? "job.hopeless" : "job.placed_again",
            {{"job", Owner.m_Spec.m_Name},
             {"tasks", Unplaced},
@@ -345,9 +350,25 @@
     receiveReport(Agent, std::move(*Report));
   } else if (auto *Ends = std::get_if<TaskEnds>(&Body)) {
     receiveEnds(Agent, *Ends);
+  } else if (auto *Late = std::get_if<TaskHopeless>(&Body)) {
+    receiveHopeless(Agent, *Late);
   }
 }
 
+/// A job that one of its tasks makes late is not worth the room of the others.
+void BatchService::receiveHopeless(Incarnation Agent,
+                                   const TaskHopeless &Late) {
+  BatchJob *Owner = find(Late.m_Job);
+  bool IsCurrent = Owner && Late.m_Index < Owner->m_Tasks.size() &&
+                   Owner->m_Tasks[Late.m_Index].m_Agent == Agent &&
+                   Owner->m_Tasks[Late.m_Index].m_Run == Late.m_Run;
+  if (!IsCurrent)
+    return;
+  logEvent(LogLevel::Info, "job.hopeless",
+           {{"job", Owner->m_Spec.m_Name}, {"task", Late.m_Index}});
+  giveUp(*Owner, ResultCode::DeadlineWhileRunning);
+}
+
 void BatchService::receiveReport(Incarnation Agent, WorkerReport Report) {
   bool IsNew = !Report.m_Service.empty() && m_Judged.insert(Agent).second;
   if (IsNew)
--- a/packages/batch/internal/batchservice.h
+++ b/packages/batch/internal/batchservice.h
@@ -42,6 +42,7 @@
               std::vector<BatchTask *> Chosen);
   void placeRest(BatchJob &Owner);
 
+  void receiveHopeless(Incarnation Agent, const TaskHopeless &Late);
   void receiveReport(Incarnation Agent, WorkerReport Report);
   void receiveEnds(Incarnation Agent, TaskEnds &Body);
   void receiveEnd(Incarnation Agent, const TaskEnd &End);
--- a/packages/batch/internal/workertable.cpp
+++ b/packages/batch/internal/workertable.cpp
@@ -10,6 +10,7 @@
 /// Bounds of what a worker's speed counts for against the others.
 constexpr double LeastSlowness = 0.4;
 constexpr double GreatestSlowness = 10;
+constexpr double StrongDifference = 1.7;
 
 } // namespace
 
@@ -62,16 +63,20 @@
 }
 
 PlacementWorker WorkerTable::view(const Worker &Known,
-                                  double MeanSlowness) const {
+                                  const Speeds &Usual) const {
   const WorkerReport &Report = Known.m_Report;
   PlacementWorker View;
   View.m_Agent = Known.m_Peer.m_Incarnation;
   View.m_Rack = Report.m_Rack;
   View.m_Capacity = Report.m_Capacity;
   View.m_Free = Report.m_Free;
+  // What one worker shows is mostly the error of estimates, so only a strong
+  // difference from its kind counts.
+  double OfKind = Usual.m_ByKind.at(Report.m_Kind);
+  double Own = Report.m_SlownessPercent / Percent;
+  double Taken = Own > StrongDifference * OfKind ? Own : OfKind;
   View.m_Slowness =
-      std::clamp(Report.m_SlownessPercent / Percent / MeanSlowness,
-                 LeastSlowness, GreatestSlowness);
+      std::clamp(Taken / Usual.m_Mean, LeastSlowness, GreatestSlowness);
   View.m_MeanRemaining = Report.m_MeanRemaining;
   View.m_Waiting = Report.m_Waiting;
   TimePoint Now = m_Timers.now();
@@ -83,28 +88,53 @@
   return View;
 }
 
-double WorkerTable::meanSlowness(const std::string &Service) const {
+WorkerTable::Speeds WorkerTable::speeds(const std::string &Service) const {
+  std::map<std::string, std::vector<double>> Seen;
+  for (const auto &Known : m_Workers)
+    if (isUsable(Known.second, Service))
+      Seen[Known.second.m_Report.m_Kind].push_back(
+          Known.second.m_Report.m_SlownessPercent / Percent);
+  Speeds Usual;
   double Sum = 0;
   double Count = 0;
+  for (auto &Kind : Seen) {
+    auto Middle = Kind.second.begin() +
+                  static_cast<std::ptrdiff_t>(Kind.second.size() / 2);
+    std::nth_element(Kind.second.begin(), Middle, Kind.second.end());
+    Usual.m_ByKind[Kind.first] = *Middle;
+    Sum += *Middle * static_cast<double>(Kind.second.size());
+    Count += static_cast<double>(Kind.second.size());
+  }
+  if (Count > 0)
+    Usual.m_Mean = std::max(Sum / Count, LeastSlowness);
+  return Usual;
+}
+
+double WorkerTable::meanSlowness(const std::string &Service) const {
+  return speeds(Service).m_Mean;
+}
+
+double WorkerTable::usedShare(const std::string &Service) const {
+  double Capacity = 0;
+  double Free = 0;
   for (const auto &Known : m_Workers) {
     if (!isUsable(Known.second, Service))
       continue;
-    // One that stands still must not make the others look fast.
-    Sum += std::min(Known.second.m_Report.m_SlownessPercent / Percent,
-                    2 * LeastSlowness + 1);
-    ++Count;
+    Capacity +=
+        static_cast<double>(Known.second.m_Report.m_Capacity.m_MilliCores);
+    Free += static_cast<double>(Known.second.m_Report.m_Free.m_MilliCores);
   }
-  return Count > 0 ? std::max(Sum / Count, LeastSlowness) : 1;
+  return Capacity > 0 ? 1 - Free / Capacity : 1;
 }
 
 std::vector<PlacementWorker>
 WorkerTable::views(const std::string &Service,
                    const std::set<Incarnation> &Without) const {
-  double Mean = meanSlowness(Service);
+  Speeds Usual = speeds(Service);
   std::vector<PlacementWorker> Views;
   for (const auto &Known : m_Workers)
     if (isUsable(Known.second, Service) && !Without.count(Known.first))
-      Views.push_back(view(Known.second, Mean));
+      Views.push_back(view(Known.second, Usual));
   return Views;
 }
 
--- a/packages/batch/internal/workertable.h
+++ b/packages/batch/internal/workertable.h
@@ -7,6 +7,7 @@
 #include "policy/types/placement.h"
 
 #include <deque>
+#include <map>
 #include <set>
 #include <unordered_map>
 
@@ -38,6 +39,9 @@
 
   bool hasAccepting() const;
 
+  /// The share of cores in use at the workers that take tasks.
+  double usedShare(const std::string &Service) const;
+
   /// Whether some worker of the service, busy or not, could hold a task.
   bool canHold(const std::string &Service, const Room &Need) const;
 
@@ -61,8 +65,17 @@
     std::uint32_t m_Limit = IWorkerHealth::NoLimit;
   };
 
+  /// What is usual for the workers of a service.
+  struct Speeds {
+    /// The median slowness of each kind.
+    std::map<std::string, double> m_ByKind;
+    /// The mean of all, by which estimates are corrected.
+    double m_Mean = 1;
+  };
+
+  Speeds speeds(const std::string &Service) const;
   bool isUsable(const Worker &Known, const std::string &Service) const;
-  PlacementWorker view(const Worker &Known, double MeanSlowness) const;
+  PlacementWorker view(const Worker &Known, const Speeds &Usual) const;
 
   ITimerService &m_Timers;
   std::unordered_map<Incarnation, Worker> m_Workers;
--- a/packages/message/types/messages.h
+++ b/packages/message/types/messages.h
@@ -154,7 +154,7 @@
                  CreditWithdraw, Demand, Start, StartRefused, TaskDone, StopJob,
                  EntryList, ConfigurationNotice, ConfigurationRequest,
                  ConfigurationBody, WorkerReport, PlaceTasks, TaskEnds,
-                 CancelNamed, CancelNamedReply>;
+                 TaskHopeless, CancelNamed, CancelNamedReply>;
 
 /// A message with what a link needs to deliver it once and in order.
 struct Envelope {
--- a/packages/message/types/placement.h
+++ b/packages/message/types/placement.h
@@ -24,6 +24,8 @@
   std::string m_Service;
   /// The rack or switch that the worker shares with others.
   std::string m_Rack;
+  /// Workers of one kind are equally fast while they are sound.
+  std::string m_Kind;
   Room m_Capacity;
   Room m_Free;
   bool m_IsAccepting = false;
@@ -88,6 +90,13 @@
   Duration m_RunTime{};
 };
 
+/// Agent to entry: by its progress, a run cannot end before its job's deadline.
+struct TaskHopeless {
+  JobId m_Job;
+  std::uint32_t m_Index = 0;
+  std::uint32_t m_Run = 0;
+};
+
 /// Agent to entry: runs that have ended, with the worker's state after them.
 struct TaskEnds {
   std::vector<TaskEnd> m_Ends;
--- a/packages/policy/internal/placement.cpp
+++ b/packages/policy/internal/placement.cpp
@@ -10,8 +10,15 @@
 constexpr double FirstPriorityShare = 1.0;
 constexpr double ShareLessPerPriority = 0.1;
 constexpr double LeastShare = 0.5;
+/// Part of its expected run time that a task may well end in, and part that it
+/// is likely to need.
+constexpr double HopefulPart = 0.75;
+constexpr double LikelyPart = 0.9;
+constexpr double IdleShare = 0.75;
+/// Waiting also delays those that come later, so it counts this many times.
+constexpr double WaitWeight = 2;
 /// Keeps apart workers that would finish at the same time: the emptier wins.
-constexpr Duration LoadTieBreak = milliseconds(4);
+constexpr Duration LoadTieBreak = milliseconds(10);
 
 Duration scaled(Duration Span, double Factor) {
   return Duration(
@@ -97,7 +104,7 @@
                                     const PlacementJob &Job) {
   return placeByScore(std::move(Workers), Job,
                       [&Job](const PlacementWorker &Known, Duration Wait) {
-                        return Wait + runTime(Known, Job) +
+                        return scaled(Wait, WaitWeight) + runTime(Known, Job) +
                                scaled(LoadTieBreak, usedShare(Known));
                       });
 }
@@ -114,7 +121,11 @@
   double Share = std::max(LeastShare, FirstPriorityShare -
                                           ShareLessPerPriority *
                                               View.m_Priority);
-  return View.m_LongestWait <= scaled(View.m_StartWithin, Share);
+  if (View.m_LongestWait > scaled(View.m_StartWithin, Share))
+    return false;
+  bool IsIdle = View.m_UsedShare < IdleShare;
+  Duration Needed = scaled(View.m_Expected, IsIdle ? HopefulPart : LikelyPart);
+  return View.m_LongestWait + Needed <= View.m_Remaining;
 }
 
 bool admitAlways(const ObjectiveView &) { return true; }
--- a/packages/policy/types/placement.h
+++ b/packages/policy/types/placement.h
@@ -73,6 +73,12 @@
   Duration m_LongestWait{};
   /// Time until the latest start with which the objective is met.
   Duration m_StartWithin{};
+  /// Time until the answer is of no use to the caller.
+  Duration m_Remaining{};
+  /// Expected run time of a task, which is often far off.
+  Duration m_Expected{};
+  /// The share of cores in use at the workers.
+  double m_UsedShare = 0;
   /// Zero goes first.
   std::uint32_t m_Priority = 0;
 };
@@ -81,7 +87,8 @@
 
 /// For bursts: a job that would miss its objective is refused on arrival, so
 /// that those behind it can still meet theirs. Lower priorities keep a
-/// distance from the limit, which leaves room for higher ones.
+/// distance from the limit, which leaves room for higher ones. A job that is
+/// likely to run past its deadline is tried as long as workers are idle.
 bool admitWithinObjective(const ObjectiveView &View);
 
 /// The baseline: admits everything.
--- a/packages/protocol/internal/fields.h
+++ b/packages/protocol/internal/fields.h
@@ -63,7 +63,7 @@
   All(M.m_StartWithin, M.m_MilliCoreMs);
 }
 template <typename Call> void fields(WorkerReport &M, Call &&All) {
-  All(M.m_Service, M.m_Rack, M.m_Capacity, M.m_Free, M.m_IsAccepting,
+  All(M.m_Service, M.m_Rack, M.m_Kind, M.m_Capacity, M.m_Free, M.m_IsAccepting,
       M.m_SlownessPercent, M.m_MeanRemaining, M.m_Waiting, M.m_PlacedSeen);
 }
 template <typename Call> void fields(PlacedTask &M, Call &&All) {
@@ -79,6 +79,9 @@
 template <typename Call> void fields(TaskEnds &M, Call &&All) {
   All(M.m_Ends, M.m_Report);
 }
+template <typename Call> void fields(TaskHopeless &M, Call &&All) {
+  All(M.m_Job, M.m_Index, M.m_Run);
+}
 template <typename Call> void fields(CancelNamed &M, Call &&All) {
   All(M.m_Name);
 }
--- a/packages/worker/internal/backendsession.cpp
+++ b/packages/worker/internal/backendsession.cpp
@@ -14,7 +14,7 @@
 /// A run that was asked to stop is asked again after this time.
 constexpr Duration StopRepeat = milliseconds(100);
 /// Weight of one run time in the running mean.
-constexpr double SlownessWeight = 0.1;
+constexpr double SlownessWeight = 0.08;
 constexpr double LeastRatio = 0.2;
 constexpr double GreatestRatio = 8;
 /// A run counts as overdue from this multiple of its expected time.
@@ -22,6 +22,9 @@
 /// Runs that the learned mean stands for beside those that are overdue.
 constexpr double LearnedRuns = 10;
 constexpr double Percent = 100;
+constexpr int WholePercent = 100;
+/// Progress is not looked at before this time, when its steps are too coarse.
+constexpr Duration ProgressFrom = milliseconds(200);
 
 double ratio(Duration Actual, Duration Expected) {
   double Quotient = static_cast<double>(Actual.count()) /
@@ -409,7 +412,10 @@
 void BackendSession::takeLists(const HoldOrder &Sent, TimePoint SentAt,
                                bool IsFence, const HoldReply &Reply) {
   takeEnds(Reply);
-  std::set<RunName> Listed(Reply.m_Running.begin(), Reply.m_Running.end());
+  takeProgress(Reply);
+  std::set<RunName> Listed;
+  for (const ListedRun &Known : Reply.m_Running)
+    Listed.insert(Known.m_Name);
   m_Strangers.clear();
   for (const RunName &Name : Listed) {
     if (RunPointer Known = m_Ledger.find(Name))
@@ -420,6 +426,38 @@
   takeMissing(Sent, SentAt, IsFence, Listed);
 }
 
+void BackendSession::takeProgress(const HoldReply &Reply) {
+  for (const ListedRun &Listed : Reply.m_Running) {
+    RunPointer Known = m_Ledger.find(Listed.m_Name);
+    if (!Known || Known->m_State != RunState::Running)
+      continue;
+    Known->m_ProgressPercent = Listed.m_ProgressPercent;
+    Known->m_ProgressAt = m_Timers.now();
+    checkHopeless(*Known);
+  }
+}
+
+void BackendSession::checkHopeless(Run &Known) {
+  Duration Elapsed = m_Timers.now() - Known.m_StartedAt;
+  if (Known.m_IsHopeless || Elapsed < ProgressFrom)
+    return;
+  // Progress is rounded down, so the run may be a step further.
+  Duration Left = Elapsed * WholePercent / (Known.m_ProgressPercent + 1) -
+                  Elapsed;
+  Duration Remaining = Known.m_Job->m_DeadlineAt - m_Timers.now();
+  if (Left <= Remaining)
+    return;
+  Known.m_IsHopeless = true;
+  logEvent(LogLevel::Info, "run.hopeless",
+           {{"task", Known.m_Name.m_Task},
+            {"run", Known.m_Name.m_Run},
+            {"elapsed_ms", toMilliseconds(Elapsed)},
+            {"progress_percent", Known.m_ProgressPercent},
+            {"left_ms", toMilliseconds(Left)},
+            {"remaining_ms", toMilliseconds(Remaining)}});
+  m_Hooks.m_Hopeless(Known);
+}
+
 void BackendSession::takeEnds(const HoldReply &Reply) {
   for (const ListedEnd &End : Reply.m_Ended) {
     if (End.m_Number <= m_LastEnd)
@@ -492,6 +530,7 @@
   WorkerReport Report;
   Report.m_Service = m_Said.m_Service;
   Report.m_Rack = m_Said.m_Rack;
+  Report.m_Kind = m_Said.m_Kind;
   Report.m_Capacity = m_Ledger.capacity();
   Report.m_Free = m_Ledger.free();
   Report.m_IsAccepting = isServing();
--- a/packages/worker/internal/backendsession.h
+++ b/packages/worker/internal/backendsession.h
@@ -29,6 +29,8 @@
     std::function<void(const Run &)> m_Ended;
     /// Room, queue or state have changed.
     std::function<void()> m_Changed;
+    /// A run cannot end before its job's deadline.
+    std::function<void(const Run &)> m_Hopeless;
   };
 
   BackendSession(BackendAnnouncement Said, WorkerSettings Settings,
@@ -87,6 +89,8 @@
   void receiveNoHold(bool IsFence, const HoldReply &Reply);
   void takeLists(const HoldOrder &Sent, TimePoint SentAt, bool IsFence,
                  const HoldReply &Reply);
+  void takeProgress(const HoldReply &Reply);
+  void checkHopeless(Run &Known);
   void takeEnds(const HoldReply &Reply);
   void takeMissing(const HoldOrder &Sent, TimePoint SentAt, bool IsFence,
                    const std::set<RunName> &Listed);
--- a/packages/worker/internal/run.h
+++ b/packages/worker/internal/run.h
@@ -44,6 +44,8 @@
   std::string m_Spec;
   Room m_Need;
   Duration m_Expected{};
+  /// When the answer is of no use any more.
+  TimePoint m_DeadlineAt;
   /// Latest start with which the job meets its objective.
   TimePoint m_StartBy;
   TimePoint m_PlacedAt;
@@ -59,6 +61,11 @@
   std::uint64_t m_OrderToken = 0;
   /// When it was known to run; zero before.
   TimePoint m_StartedAt;
+  /// The share of its work that was done at m_ProgressAt, percent.
+  std::uint32_t m_ProgressPercent = 0;
+  TimePoint m_ProgressAt;
+  /// Whether the entry was told that it cannot end in time.
+  bool m_IsHopeless = false;
   /// When it was last asked to stop; zero before.
   TimePoint m_StopSentAt;
   TimerId m_ExpiryTimer = 0;
--- a/packages/worker/internal/runledger.cpp
+++ b/packages/worker/internal/runledger.cpp
@@ -11,6 +11,9 @@
 /// A run that takes longer than expected is taken to need this share of the
 /// expected time more.
 constexpr double OverdueShare = 0.3;
+/// From this progress on, percent, it tells more than the estimate.
+constexpr std::uint32_t TrustedProgress = 10;
+constexpr double WholePercent = 100;
 
 } // namespace
 
@@ -90,6 +93,10 @@
     double Elapsed = 0;
     if (Held.m_StartedAt != TimePoint{})
       Elapsed = static_cast<double>((Now - Held.m_StartedAt).count());
+    if (Held.m_ProgressPercent >= TrustedProgress)
+      Expected = static_cast<double>(
+                     (Held.m_ProgressAt - Held.m_StartedAt).count()) *
+                 WholePercent / Held.m_ProgressPercent;
     double Share = static_cast<double>(Held.m_Job->m_Need.m_MilliCores);
     Weighted += Share * std::max(Expected - Elapsed, OverdueShare * Expected);
     Cores += Share;
--- a/packages/worker/internal/workerservice.cpp
+++ b/packages/worker/internal/workerservice.cpp
@@ -59,7 +59,8 @@
   m_Sessions.push_back(std::make_shared<BackendSession>(
       Said, m_Settings, m_Needs,
       BackendSession::Hooks{[this](const Run &Ended) { noteEnd(Ended); },
-                            [this] { noteChange(); }}));
+                            [this] { noteChange(); },
+                            [this](const Run &Late) { noteHopeless(Late); }}));
 }
 
 void WorkerService::dropGone() {
@@ -114,6 +115,7 @@
   Job->m_Need = Body.m_Need;
   Job->m_Expected = Body.m_Expected;
   Job->m_PlacedAt = m_Timers.now();
+  Job->m_DeadlineAt = m_Timers.now() + Body.m_Remaining;
   Job->m_StartBy = m_Timers.now() + Body.m_StartWithin;
   for (const PlacedTask &Task : Body.m_Tasks)
     Serving->place(Job, Task);
@@ -148,6 +150,12 @@
   scheduleFlush(Duration::zero());
 }
 
+void WorkerService::noteHopeless(const Run &Late) {
+  m_Needs.m_Links.send(Late.m_Job->m_Entry,
+                       TaskHopeless{Late.m_Job->m_Job, Late.m_Task.m_Index,
+                                    Late.m_Task.m_Run});
+}
+
 void WorkerService::noteChange() {
   for (auto &Known : m_Entries)
     Known.second.m_IsBehind = true;
--- a/packages/worker/internal/workerservice.h
+++ b/packages/worker/internal/workerservice.h
@@ -39,6 +39,7 @@
   void stopJob(JobId Job);
   void noteEnd(const Run &Ended);
   void noteChange();
+  void noteHopeless(const Run &Late);
   void scheduleFlush(Duration Delay);
   void flush();
   void flushTo(Incarnation Entry, LinkedEntry &Known,
--- a/packages/worker/types/backend.h
+++ b/packages/worker/types/backend.h
@@ -22,6 +22,7 @@
   std::string m_Address;
   std::string m_Service;
   std::string m_Rack;
+  std::string m_Kind;
   Room m_Capacity;
   bool m_IsLeaving = false;
   /// Grows with each announcement of a life.
@@ -91,6 +92,13 @@
   Duration m_Clock{};
 };
 
+/// A run that is under way.
+struct ListedRun {
+  RunName m_Name;
+  /// The share of its work that is done, percent; rounded down.
+  std::uint32_t m_ProgressPercent = 0;
+};
+
 /// A run that has ended, with the server's number for the end.
 struct ListedEnd {
   std::uint64_t m_Number = 0;
@@ -103,7 +111,7 @@
   Duration m_Clock{};
   /// As in BackendAnnouncement; zero when not said.
   Duration m_BornAt{};
-  std::vector<RunName> m_Running;
+  std::vector<ListedRun> m_Running;
   /// In ascending order of their numbers.
   std::vector<ListedEnd> m_Ended;
 };
