--- a/packages/batch/internal/batchservice.cpp
+++ b/packages/batch/internal/batchservice.cpp
@@ -13,7 +13,7 @@
 constexpr std::uint32_t RunJump = 1000;
 constexpr Duration LeastRetryAfter = seconds(1);
 /// Part of the expected run time below which hardly any task ends.
-constexpr double LeastRunPart = 0.45;
+constexpr double LeastRunPart = 0.4;
 
 Duration scaled(Duration Span, double Factor) {
   return Duration(
--- a/packages/policy/internal/placement.cpp
+++ b/packages/policy/internal/placement.cpp
@@ -12,8 +12,8 @@
 constexpr double LeastShare = 0.5;
 /// Part of its expected run time that a task may well end in, and part that it
 /// is likely to need.
-constexpr double HopefulPart = 0.75;
-constexpr double LikelyPart = 0.9;
+constexpr double HopefulPart = 0.4;
+constexpr double LikelyPart = 0.75;
 constexpr double IdleShare = 0.75;
 /// Waiting also delays those that come later, so it counts this many times.
 constexpr double WaitWeight = 2;
