--- a/packages/batch/internal/batchservice.cpp
+++ b/packages/batch/internal/batchservice.cpp
@@ -143,6 +143,7 @@
             {"tasks", Added.m_Spec.m_Tasks},
             {"millicores", Added.m_Spec.m_Need.m_MilliCores},
             {"estimated_ms", toMilliseconds(Added.m_Spec.m_Estimated)},
+            {"deadline_ms", toMilliseconds(Added.m_Spec.m_Deadline)},
             {"wait_ms", toMilliseconds(Plan.m_LongestWait)},
             {"start_within_ms", toMilliseconds(Wanted.m_StartWithin)},
             {"finish_ms", toMilliseconds(Plan.m_Finish)}});
