--- a/packages/batch/internal/batchservice.cpp
+++ b/packages/batch/internal/batchservice.cpp
@@ -12,6 +12,7 @@
 /// A task whose run was too low is tried with a number this much higher.
 constexpr std::uint32_t RunJump = 1000;
 constexpr Duration LeastRetryAfter = seconds(1);
+constexpr double Percent = 100;
 /// Part of the expected run time below which hardly any task ends.
 constexpr double LeastRunPart = 0.4;
 
@@ -55,6 +56,7 @@
       m_Links(Needs.m_Links), m_Timers(Needs.m_Timers),
       m_Metrics(Needs.m_Metrics), m_TaskChart(bindTask(Needs.m_Charts)),
       m_JobChart(bindJob(Needs.m_Charts)), m_Workers(m_Timers),
+      m_SlackControl(m_Hooks.m_SlackControl()),
       m_Health(makeWorkerHealth(m_Hooks.m_FailureTest, Needs.m_Charts, m_Timers,
                                 m_Metrics)) {
   m_Health->onLimitChanged([this](Incarnation Worker, std::uint32_t Limit) {
@@ -135,7 +137,7 @@
   bool IsInTime = m_Hooks.m_Admission(
       {Plan.m_LongestWait, Wanted.m_StartWithin, Added.m_Spec.m_Deadline,
        Wanted.m_Expected, m_Workers.usedShare(Added.m_Spec.m_Service),
-       Added.m_Spec.m_Priority});
+       m_SlackShare, Added.m_Spec.m_Priority});
   logEvent(LogLevel::Info, IsInTime ? "job.admitted" : "job.not_admitted",
            {{"job", Added.m_Spec.m_Name},
             {"route", Added.m_Spec.m_Route},
@@ -146,6 +148,7 @@
             {"deadline_ms", toMilliseconds(Added.m_Spec.m_Deadline)},
             {"wait_ms", toMilliseconds(Plan.m_LongestWait)},
             {"start_within_ms", toMilliseconds(Wanted.m_StartWithin)},
+            {"slack_percent", static_cast<int>(Percent * m_SlackShare)},
             {"finish_ms", toMilliseconds(Plan.m_Finish)}});
   if (IsInTime)
     sendPlan(Added, Wanted, Plan);
@@ -404,6 +407,7 @@
     return;
   }
   judge(Agent, *Owner, End.m_How);
+  learnLateness(End);
   if (End.m_How == RunEnd::RunTooLow)
     Ended.m_Run += RunJump;
   m_TaskChart.fire(Ended, eventOf(End.m_How));
@@ -411,6 +415,14 @@
     fireJob(*Owner, BatchJobEvent::TaskSucceeded);
 }
 
+void BatchService::learnLateness(const TaskEnd &End) {
+  bool HasStarted =
+      End.m_How != RunEnd::NotStarted && End.m_How != RunEnd::RunTooLow;
+  bool IsLate = End.m_StartMargin < Duration::zero();
+  if (HasStarted || IsLate)
+    m_SlackShare = m_SlackControl(IsLate);
+}
+
 void BatchService::judge(Incarnation Agent, BatchJob &Owner, RunEnd How) {
   if (How == RunEnd::Succeeded) {
     m_Metrics.count(Metric::TasksSucceeded);
--- a/packages/batch/internal/batchservice.h
+++ b/packages/batch/internal/batchservice.h
@@ -46,6 +46,7 @@
   void receiveReport(Incarnation Agent, WorkerReport Report);
   void receiveEnds(Incarnation Agent, TaskEnds &Body);
   void receiveEnd(Incarnation Agent, const TaskEnd &End);
+  void learnLateness(const TaskEnd &End);
   void judge(Incarnation Agent, BatchJob &Owner, RunEnd How);
   BatchJob *find(JobId Id);
   void fireJob(BatchJob &Changed, BatchJobEvent What);
@@ -64,6 +65,8 @@
   const BatchTaskChart m_TaskChart;
   const BatchJobChart m_JobChart;
   WorkerTable m_Workers;
+  SlackControl m_SlackControl;
+  double m_SlackShare = 1;
   std::unique_ptr<IWorkerHealth> m_Health;
   /// The workers that m_Health knows.
   std::set<Incarnation> m_Judged;
--- a/packages/message/types/placement.h
+++ b/packages/message/types/placement.h
@@ -88,6 +88,8 @@
   std::uint32_t m_Run = 0;
   RunEnd m_How = RunEnd::NotStarted;
   Duration m_RunTime{};
+  /// Time between its start and the latest useful one; negative when late.
+  Duration m_StartMargin{};
 };
 
 /// Agent to entry: by its progress, a run cannot end before its job's deadline.
--- a/packages/policy/internal/placement.cpp
+++ b/packages/policy/internal/placement.cpp
@@ -15,6 +15,10 @@
 constexpr double HopefulPart = 0.4;
 constexpr double LikelyPart = 0.75;
 constexpr double IdleShare = 0.75;
+/// The steps of the adaptive slack balance where one start in fifteen is late.
+constexpr double SlackDecrease = 0.97;
+constexpr double SlackIncrease = 0.001;
+constexpr double LeastSlackShare = 0.05;
 /// Waiting also delays those that come later, so it counts this many times.
 constexpr double WaitWeight = 2;
 /// Keeps apart workers that would finish at the same time: the emptier wins.
@@ -121,6 +125,7 @@
   double Share = std::max(LeastShare, FirstPriorityShare -
                                           ShareLessPerPriority *
                                               View.m_Priority);
+  Share *= View.m_SlackShare;
   if (View.m_LongestWait > scaled(View.m_StartWithin, Share))
     return false;
   bool IsIdle = View.m_UsedShare < IdleShare;
@@ -128,6 +133,18 @@
   return View.m_LongestWait + Needed <= View.m_Remaining;
 }
 
+SlackControl makeAdaptiveSlack() {
+  return [Share = 1.0](bool WasLate) mutable {
+    Share = WasLate ? Share * SlackDecrease : Share + SlackIncrease;
+    Share = std::clamp(Share, LeastSlackShare, 1.0);
+    return Share;
+  };
+}
+
+SlackControl makeWholeSlack() {
+  return [](bool) { return 1.0; };
+}
+
 bool admitAlways(const ObjectiveView &) { return true; }
 
 } // namespace cyclamenwalk
--- a/packages/policy/types/placement.h
+++ b/packages/policy/types/placement.h
@@ -79,6 +79,8 @@
   Duration m_Expected{};
   /// The share of cores in use at the workers.
   double m_UsedShare = 0;
+  /// The part of the slack that may be spent on waiting, by recent starts.
+  double m_SlackShare = 1;
   /// Zero goes first.
   std::uint32_t m_Priority = 0;
 };
@@ -91,6 +93,19 @@
 /// likely to run past its deadline is tried as long as workers are idle.
 bool admitWithinObjective(const ObjectiveView &View);
 
+/// Told of each start whether it came too late for its job's objective; gives
+/// the part of the slack that jobs may be expected to wait from now on.
+using SlackControl = std::function<double(bool WasLate)>;
+using SlackControlFactory = std::function<SlackControl()>;
+
+/// For overload that lasts: expected waits are too short then, as work that is
+/// more urgent keeps arriving. Less waiting is admitted after late starts, and
+/// slowly more after others, so that few starts are late.
+SlackControl makeAdaptiveSlack();
+
+/// The baseline: all of the slack, always.
+SlackControl makeWholeSlack();
+
 /// The baseline: admits everything.
 bool admitAlways(const ObjectiveView &View);
 
--- a/packages/protocol/internal/fields.h
+++ b/packages/protocol/internal/fields.h
@@ -74,7 +74,7 @@
       M.m_Expected, M.m_StartWithin, M.m_Remaining, M.m_MayStartLate);
 }
 template <typename Call> void fields(TaskEnd &M, Call &&All) {
-  All(M.m_Job, M.m_Index, M.m_Run, M.m_How, M.m_RunTime);
+  All(M.m_Job, M.m_Index, M.m_Run, M.m_How, M.m_RunTime, M.m_StartMargin);
 }
 template <typename Call> void fields(TaskEnds &M, Call &&All) {
   All(M.m_Ends, M.m_Report);
--- a/packages/worker/internal/workerservice.cpp
+++ b/packages/worker/internal/workerservice.cpp
@@ -128,7 +128,7 @@
             {"draining", m_IsDraining ? "yes" : "no"}});
   for (const PlacedTask &Task : Body.m_Tasks)
     m_Entries[Entry].m_Ends.push_back(
-        {Body.m_Job, Task.m_Index, Task.m_Run, RunEnd::NotStarted, {}});
+        {Body.m_Job, Task.m_Index, Task.m_Run, RunEnd::NotStarted, {}, {}});
   scheduleFlush(Duration::zero());
 }
 
@@ -142,11 +142,12 @@
   auto Owner = m_Entries.find(Ended.m_Job->m_Entry);
   if (Owner == m_Entries.end())
     return;
-  Duration RunTime{};
-  if (Ended.m_StartedAt != TimePoint{})
-    RunTime = m_Timers.now() - Ended.m_StartedAt;
-  Owner->second.m_Ends.push_back({Ended.m_Job->m_Job, Ended.m_Task.m_Index,
-                                  Ended.m_Task.m_Run, Ended.m_How, RunTime});
+  bool HasStarted = Ended.m_StartedAt != TimePoint{};
+  TimePoint StartedAt = HasStarted ? Ended.m_StartedAt : m_Timers.now();
+  Owner->second.m_Ends.push_back(
+      {Ended.m_Job->m_Job, Ended.m_Task.m_Index, Ended.m_Task.m_Run,
+       Ended.m_How, m_Timers.now() - StartedAt,
+       Ended.m_Job->m_StartBy - StartedAt});
   scheduleFlush(Duration::zero());
 }
 
