--- a/packages/batch/batchmodule.h
+++ b/packages/batch/batchmodule.h
@@ -17,6 +17,7 @@
 struct BatchHooks {
   Placement m_Placement = placeByEarliestFinish;
   ObjectiveAdmission m_Admission = admitWithinObjective;
+  WaitingOrder m_Order = orderByStartAndPriority;
   SlackControlFactory m_SlackControl = makeAdaptiveSlack;
   FailureTestFactory m_FailureTest = makeSequentialTest;
 };
--- a/packages/batch/internal/batchservice.cpp
+++ b/packages/batch/internal/batchservice.cpp
@@ -212,6 +212,8 @@
   Wanted.m_Expected = scaled(Known.m_Spec.m_Estimated,
                              m_Workers.meanSlowness(Known.m_Spec.m_Service));
   Wanted.m_StartWithin = Known.m_StartBy - m_Timers.now();
+  Wanted.m_OrderWithin =
+      m_Hooks.m_Order(Wanted.m_StartWithin, Known.m_Spec.m_Priority);
   Wanted.m_Rack = Known.m_Spec.m_Rack;
   Wanted.m_RemotePenalty = m_Settings.m_RemotePenalty;
   return Wanted;
@@ -251,6 +253,7 @@
   Body.m_Need = Owner.m_Spec.m_Need;
   Body.m_Expected = Owner.m_Spec.m_Estimated;
   Body.m_StartWithin = Wanted.m_StartWithin;
+  Body.m_OrderWithin = Wanted.m_OrderWithin;
   Body.m_Remaining = Owner.m_DeadlineAt - m_Timers.now();
   for (BatchTask *Known : Chosen) {
     m_TaskChart.fire(*Known, BatchTaskEvent::Place);
--- a/packages/batch/internal/workertable.cpp
+++ b/packages/batch/internal/workertable.cpp
@@ -46,7 +46,7 @@
   Known.m_Placed += Tasks;
   Known.m_InFlight += Tasks;
   Known.m_Unseen.push_back(
-      {Known.m_Placed, Tasks, Job, m_Timers.now() + Job.m_StartWithin});
+      {Known.m_Placed, Tasks, Job, m_Timers.now() + Job.m_OrderWithin});
 }
 
 void WorkerTable::settle(Incarnation Agent) {
@@ -81,10 +81,10 @@
   View.m_Waiting = Report.m_Waiting;
   TimePoint Now = m_Timers.now();
   for (WaitingWork &Waiting : View.m_Waiting)
-    Waiting.m_StartWithin -= Now - Known.m_ReportedAt;
+    Waiting.m_OrderWithin -= Now - Known.m_ReportedAt;
   for (const Charged &Sent : Known.m_Unseen)
     for (std::uint32_t I = 0; I < Sent.m_Tasks; ++I)
-      countTask(View, Sent.m_Job, Sent.m_StartBy - Now);
+      countTask(View, Sent.m_Job, Sent.m_OrderKey - Now);
   return View;
 }
 
--- a/packages/batch/internal/workertable.h
+++ b/packages/batch/internal/workertable.h
@@ -51,7 +51,7 @@
     std::uint64_t m_PlacedUpTo = 0;
     std::uint32_t m_Tasks = 0;
     PlacementJob m_Job;
-    TimePoint m_StartBy;
+    TimePoint m_OrderKey;
   };
 
   struct Worker {
--- a/packages/message/types/placement.h
+++ b/packages/message/types/placement.h
@@ -11,12 +11,13 @@
 
 namespace cyclamenwalk {
 
-/// Tasks that wait at an agent and have to start within a time.
+/// Tasks that wait at an agent.
 struct WaitingWork {
-  /// Time left until the latest useful start, from when the report was made.
-  Duration m_StartWithin{};
-  /// Expected core time of these tasks, in millicores times milliseconds.
-  std::int64_t m_MilliCoreMs = 0;
+  /// Their place in the order, as a time from when the report was made; what
+  /// has less goes first.
+  Duration m_OrderWithin{};
+  /// The cores that these tasks need, in thousandths.
+  std::int64_t m_MilliCores = 0;
 };
 
 /// Agent to entry: what its worker has room for.
@@ -59,6 +60,8 @@
   Duration m_Expected{};
   /// Time left until the latest start with which the job meets its objective.
   Duration m_StartWithin{};
+  /// As m_StartWithin, and later for lower priorities: the order of starts.
+  Duration m_OrderWithin{};
   /// Time left until the answer is of no use to the caller.
   Duration m_Remaining{};
   /// Whether the tasks shall also start when the objective cannot be met.
--- a/packages/policy/internal/placement.cpp
+++ b/packages/policy/internal/placement.cpp
@@ -1,6 +1,7 @@
 #include "policy/types/placement.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cyclamenwalk {
 
@@ -15,6 +16,7 @@
 constexpr double HopefulPart = 0.4;
 constexpr double LikelyPart = 0.75;
 constexpr double IdleShare = 0.75;
+constexpr Duration PriorityLead = milliseconds(100);
 /// The steps of the adaptive slack balance where one start in fifteen is late.
 constexpr double SlackDecrease = 0.97;
 constexpr double SlackIncrease = 0.001;
@@ -67,7 +69,7 @@
     Plan.m_Agents.push_back(Best->m_Agent);
     Plan.m_LongestWait = std::max(Plan.m_LongestWait, BestWait);
     Plan.m_Finish = std::max(Plan.m_Finish, BestWait + runTime(*Best, Job));
-    countTask(*Best, Job, Job.m_StartWithin);
+    countTask(*Best, Job, Job.m_OrderWithin);
   }
   return Plan;
 }
@@ -77,31 +79,28 @@
 Duration forecastWait(const PlacementWorker &Worker, const PlacementJob &Job) {
   std::int64_t Ahead = 0;
   for (const WaitingWork &Waiting : Worker.m_Waiting)
-    if (Waiting.m_StartWithin <= Job.m_StartWithin)
-      Ahead += Waiting.m_MilliCoreMs;
+    if (Waiting.m_OrderWithin <= Job.m_OrderWithin)
+      Ahead += Waiting.m_MilliCores;
   if (Ahead == 0 && Worker.m_Free.holds(Job.m_Need))
     return Duration::zero();
   std::int64_t Capacity =
       std::max<std::int64_t>(1, Worker.m_Capacity.m_MilliCores);
-  // Running tasks free the missing cores at an even pace over twice their
-  // mean remaining time.
+  // Running tasks free their cores at an even pace over twice their mean
+  // remaining time.
   std::int64_t Free = std::max<std::int64_t>(0, Worker.m_Free.m_MilliCores);
   std::int64_t Missing =
-      std::max<std::int64_t>(0, Job.m_Need.m_MilliCores - Free);
-  auto UntilRoom =
-      scaled(Worker.m_MeanRemaining * 2,
-             static_cast<double>(Missing) / static_cast<double>(Capacity));
-  return UntilRoom + milliseconds(Ahead / Capacity);
+      std::max<std::int64_t>(0, Ahead + Job.m_Need.m_MilliCores - Free);
+  return scaled(Worker.m_MeanRemaining * 2, static_cast<double>(Missing) /
+                                                static_cast<double>(Capacity));
 }
 
 void countTask(PlacementWorker &Worker, const PlacementJob &Job,
-               Duration StartWithin) {
+               Duration OrderWithin) {
   if (Worker.m_Free.holds(Job.m_Need)) {
     Worker.m_Free -= Job.m_Need;
     return;
   }
-  Worker.m_Waiting.push_back(
-      {StartWithin, Job.m_Need.m_MilliCores * toMilliseconds(Job.m_Expected)});
+  Worker.m_Waiting.push_back({OrderWithin, Job.m_Need.m_MilliCores});
 }
 
 PlacementPlan placeByEarliestFinish(std::vector<PlacementWorker> Workers,
@@ -125,7 +124,9 @@
   double Share = std::max(LeastShare, FirstPriorityShare -
                                           ShareLessPerPriority *
                                               View.m_Priority);
-  Share *= View.m_SlackShare;
+  // The first priority gives up waiting last.
+  Share *= View.m_Priority == 0 ? std::sqrt(View.m_SlackShare)
+                                : View.m_SlackShare;
   if (View.m_LongestWait > scaled(View.m_StartWithin, Share))
     return false;
   bool IsIdle = View.m_UsedShare < IdleShare;
@@ -133,6 +134,14 @@
   return View.m_LongestWait + Needed <= View.m_Remaining;
 }
 
+Duration orderByStartAndPriority(Duration StartWithin, std::uint32_t Priority) {
+  return StartWithin + PriorityLead * Priority;
+}
+
+Duration orderByStart(Duration StartWithin, std::uint32_t) {
+  return StartWithin;
+}
+
 SlackControl makeAdaptiveSlack() {
   return [Share = 1.0](bool WasLate) mutable {
     Share = WasLate ? Share * SlackDecrease : Share + SlackIncrease;
--- a/packages/policy/types/placement.h
+++ b/packages/policy/types/placement.h
@@ -34,6 +34,8 @@
   Duration m_Expected{};
   /// Time until the latest start with which the objective is met.
   Duration m_StartWithin{};
+  /// The place among tasks that wait; less goes first.
+  Duration m_OrderWithin{};
   /// The rack on which the data lies; empty for none.
   std::string m_Rack;
   /// Factor on the run time on any other rack.
@@ -57,7 +59,7 @@
 
 /// Counts one more task of \p Job at \p Worker, in its room or in its queue.
 void countTask(PlacementWorker &Worker, const PlacementJob &Job,
-               Duration StartWithin);
+               Duration OrderWithin);
 
 /// For wide jobs on workers of unequal speed: each task goes where it is
 /// expected to end first, given the tasks of the job placed before it.
@@ -68,6 +70,17 @@
 PlacementPlan placeByLeastLoad(std::vector<PlacementWorker> Workers,
                                const PlacementJob &Job);
 
+/// The order of tasks that wait at a worker, for bursts of mixed classes: the
+/// latest useful start, and a lead for each step of priority, so that short
+/// urgent tasks do not wait behind those that can.
+Duration orderByStartAndPriority(Duration StartWithin, std::uint32_t Priority);
+
+/// The baseline: the latest useful start alone.
+Duration orderByStart(Duration StartWithin, std::uint32_t Priority);
+
+using WaitingOrder = std::function<Duration(Duration StartWithin,
+                                            std::uint32_t Priority)>;
+
 /// What the admission of a job that was planned is decided on.
 struct ObjectiveView {
   Duration m_LongestWait{};
--- a/packages/protocol/internal/fields.h
+++ b/packages/protocol/internal/fields.h
@@ -60,7 +60,7 @@
   All(M.m_MilliCores, M.m_MemoryMb, M.m_Gpus);
 }
 template <typename Call> void fields(WaitingWork &M, Call &&All) {
-  All(M.m_StartWithin, M.m_MilliCoreMs);
+  All(M.m_OrderWithin, M.m_MilliCores);
 }
 template <typename Call> void fields(WorkerReport &M, Call &&All) {
   All(M.m_Service, M.m_Rack, M.m_Kind, M.m_Capacity, M.m_Free, M.m_IsAccepting,
@@ -71,7 +71,7 @@
 }
 template <typename Call> void fields(PlaceTasks &M, Call &&All) {
   All(M.m_Job, M.m_Name, M.m_Service, M.m_Spec, M.m_Need, M.m_Tasks,
-      M.m_Expected, M.m_StartWithin, M.m_Remaining, M.m_MayStartLate);
+      M.m_Expected, M.m_StartWithin, M.m_OrderWithin, M.m_Remaining, M.m_MayStartLate);
 }
 template <typename Call> void fields(TaskEnd &M, Call &&All) {
   All(M.m_Job, M.m_Index, M.m_Run, M.m_How, M.m_RunTime, M.m_StartMargin);
--- a/packages/worker/internal/run.h
+++ b/packages/worker/internal/run.h
@@ -48,6 +48,8 @@
   TimePoint m_DeadlineAt;
   /// Latest start with which the job meets its objective.
   TimePoint m_StartBy;
+  /// The place among those that wait; earlier goes first.
+  TimePoint m_OrderKey;
   TimePoint m_PlacedAt;
 };
 
--- a/packages/worker/internal/runledger.cpp
+++ b/packages/worker/internal/runledger.cpp
@@ -38,11 +38,11 @@
 }
 
 void RunLedger::queue(const RunPointer &Waiting) {
-  m_Queue.emplace(Waiting->m_Job->m_StartBy, Waiting);
+  m_Queue.emplace(Waiting->m_Job->m_OrderKey, Waiting);
 }
 
 void RunLedger::unqueue(const Run &Taken) {
-  auto Range = m_Queue.equal_range(Taken.m_Job->m_StartBy);
+  auto Range = m_Queue.equal_range(Taken.m_Job->m_OrderKey);
   for (auto It = Range.first; It != Range.second; ++It) {
     if (It->second.get() != &Taken)
       continue;
@@ -68,15 +68,13 @@
   std::vector<WaitingWork> Steps;
   for (const auto &Known : m_Queue) {
     const PlacedJob &Job = *Known.second->m_Job;
-    Duration Within = Job.m_StartBy - Now;
-    std::int64_t Work =
-        Job.m_Need.m_MilliCores * toMilliseconds(Job.m_Expected);
+    Duration Within = Job.m_OrderKey - Now;
     bool IsSameStep = !Steps.empty() &&
-                      Within - Steps.back().m_StartWithin < WaitingStep;
+                      Within - Steps.back().m_OrderWithin < WaitingStep;
     if (IsSameStep)
-      Steps.back().m_MilliCoreMs += Work;
+      Steps.back().m_MilliCores += Job.m_Need.m_MilliCores;
     else
-      Steps.push_back({Within, Work});
+      Steps.push_back({Within, Job.m_Need.m_MilliCores});
   }
   return Steps;
 }
--- a/packages/worker/internal/runledger.h
+++ b/packages/worker/internal/runledger.h
@@ -9,7 +9,7 @@
 namespace cyclamenwalk {
 
 /// The runs of one backend server: those that hold room, and those that wait,
-/// in the order of their latest useful start.
+/// in their order.
 class RunLedger {
 public:
   explicit RunLedger(Room Capacity) : m_Capacity(Capacity) {}
@@ -37,7 +37,7 @@
   void occupy(const Run &Started);
   void release(const Run &Ended);
 
-  /// What waits, by the time until the latest useful start.
+  /// What waits, in order.
   std::vector<WaitingWork> waiting(TimePoint Now) const;
 
   /// Expected time until a running task ends, weighted by cores.
--- a/packages/worker/internal/workerservice.cpp
+++ b/packages/worker/internal/workerservice.cpp
@@ -117,6 +117,7 @@
   Job->m_PlacedAt = m_Timers.now();
   Job->m_DeadlineAt = m_Timers.now() + Body.m_Remaining;
   Job->m_StartBy = m_Timers.now() + Body.m_StartWithin;
+  Job->m_OrderKey = m_Timers.now() + Body.m_OrderWithin;
   for (const PlacedTask &Task : Body.m_Tasks)
     Serving->place(Job, Task);
 }
