--- a/packages/batch/batchmodule.h
+++ b/packages/batch/batchmodule.h
@@ -19,7 +19,6 @@
   ObjectiveAdmission m_Admission = admitWithinObjective;
   WaitingOrder m_Order = orderByStartAndPriority;
   SlackControlFactory m_SlackControl = makeAdaptiveSlack;
-  FailureTestFactory m_FailureTest = makeSequentialTest;
 };
 
 struct BatchDependencies {
--- a/packages/batch/internal/batchjob.h
+++ b/packages/batch/internal/batchjob.h
@@ -75,7 +75,7 @@
   TimePoint m_StartBy;
   TimePoint m_DeadlineAt;
   TimerId m_Timer = 0;
-  /// Workers on which a task of this job has failed.
+  /// Workers on which a task of this job has failed or was interrupted.
   std::set<Incarnation> m_FailedOn;
   BatchAnswer m_Answer;
   std::vector<BatchDone> m_Waiters;
--- a/packages/batch/internal/batchservice.cpp
+++ b/packages/batch/internal/batchservice.cpp
@@ -56,13 +56,7 @@
       m_Links(Needs.m_Links), m_Timers(Needs.m_Timers),
       m_Metrics(Needs.m_Metrics), m_TaskChart(bindTask(Needs.m_Charts)),
       m_JobChart(bindJob(Needs.m_Charts)), m_Workers(m_Timers),
-      m_SlackControl(m_Hooks.m_SlackControl()),
-      m_Health(makeWorkerHealth(m_Hooks.m_FailureTest, Needs.m_Charts, m_Timers,
-                                m_Metrics)) {
-  m_Health->onLimitChanged([this](Incarnation Worker, std::uint32_t Limit) {
-    m_Workers.setLimit(Worker, Limit);
-  });
-}
+      m_SlackControl(m_Hooks.m_SlackControl()) {}
 
 BatchService::~BatchService() {
   for (auto &Known : m_Jobs)
@@ -331,8 +325,6 @@
 void BatchService::agentDown(const Peer &Agent) {
   Incarnation Gone = Agent.m_Incarnation;
   m_Workers.remove(Gone);
-  m_Health->remove(Gone);
-  m_Judged.erase(Gone);
   std::vector<JobId> Ids;
   for (const auto &Known : m_Jobs)
     Ids.push_back(Known.first);
@@ -354,7 +346,7 @@
 
 void BatchService::receive(Incarnation Agent, Message &Body) {
   if (auto *Report = std::get_if<WorkerReport>(&Body)) {
-    receiveReport(Agent, std::move(*Report));
+    m_Workers.report(Agent, std::move(*Report));
   } else if (auto *Ends = std::get_if<TaskEnds>(&Body)) {
     receiveEnds(Agent, *Ends);
   } else if (auto *Late = std::get_if<TaskHopeless>(&Body)) {
@@ -376,15 +368,8 @@
   giveUp(*Owner, ResultCode::DeadlineWhileRunning);
 }
 
-void BatchService::receiveReport(Incarnation Agent, WorkerReport Report) {
-  bool IsNew = !Report.m_Service.empty() && m_Judged.insert(Agent).second;
-  if (IsNew)
-    m_Health->add(Agent, Report.m_Service);
-  m_Workers.report(Agent, std::move(Report));
-}
-
 void BatchService::receiveEnds(Incarnation Agent, TaskEnds &Body) {
-  receiveReport(Agent, std::move(Body.m_Report));
+  m_Workers.report(Agent, std::move(Body.m_Report));
   std::set<JobId> Touched;
   for (const TaskEnd &End : Body.m_Ends) {
     receiveEnd(Agent, End);
@@ -396,7 +381,6 @@
 }
 
 void BatchService::receiveEnd(Incarnation Agent, const TaskEnd &End) {
-  m_Workers.settle(Agent);
   BatchJob *Owner = find(End.m_Job);
   bool IsKnown = Owner && End.m_Index < Owner->m_Tasks.size();
   if (!IsKnown) {
@@ -409,7 +393,7 @@
     m_Metrics.count(Metric::LateResults);
     return;
   }
-  judge(Agent, *Owner, End.m_How);
+  count(Agent, *Owner, End.m_How);
   learnLateness(End);
   if (End.m_How == RunEnd::RunTooLow)
     Ended.m_Run += RunJump;
@@ -426,21 +410,23 @@
     m_SlackShare = m_SlackControl(IsLate);
 }
 
-void BatchService::judge(Incarnation Agent, BatchJob &Owner, RunEnd How) {
-  if (How == RunEnd::Succeeded) {
+void BatchService::count(Incarnation Agent, BatchJob &Owner, RunEnd How) {
+  switch (How) {
+  case RunEnd::Succeeded:
     m_Metrics.count(Metric::TasksSucceeded);
-    m_Health->record(Agent, false);
     return;
-  }
-  if (How != RunEnd::Failed) {
+  case RunEnd::Failed:
+    m_Metrics.count(Metric::TasksFailed);
+    Owner.m_FailedOn.insert(Agent);
+    return;
+  case RunEnd::NotStarted:
+  case RunEnd::RunTooLow:
     m_Metrics.count(Metric::TasksRefused);
     return;
+  default:
+    m_Metrics.count(Metric::TasksUnknown);
+    Owner.m_FailedOn.insert(Agent);
   }
-  m_Metrics.count(Metric::TasksFailed);
-  // The tasks of one job may fail for the same reason of their own, so a job
-  // counts once against a worker.
-  if (Owner.m_FailedOn.insert(Agent).second)
-    m_Health->record(Agent, true);
 }
 
 BatchJob *BatchService::find(JobId Id) {
--- a/packages/batch/internal/batchservice.h
+++ b/packages/batch/internal/batchservice.h
@@ -43,11 +43,10 @@
   void placeRest(BatchJob &Owner);
 
   void receiveHopeless(Incarnation Agent, const TaskHopeless &Late);
-  void receiveReport(Incarnation Agent, WorkerReport Report);
   void receiveEnds(Incarnation Agent, TaskEnds &Body);
   void receiveEnd(Incarnation Agent, const TaskEnd &End);
   void learnLateness(const TaskEnd &End);
-  void judge(Incarnation Agent, BatchJob &Owner, RunEnd How);
+  void count(Incarnation Agent, BatchJob &Owner, RunEnd How);
   BatchJob *find(JobId Id);
   void fireJob(BatchJob &Changed, BatchJobEvent What);
   void giveUp(BatchJob &Owner, ResultCode Code);
@@ -67,9 +66,6 @@
   WorkerTable m_Workers;
   SlackControl m_SlackControl;
   double m_SlackShare = 1;
-  std::unique_ptr<IWorkerHealth> m_Health;
-  /// The workers that m_Health knows.
-  std::set<Incarnation> m_Judged;
   std::unordered_map<JobId, std::unique_ptr<BatchJob>> m_Jobs;
   std::unordered_map<std::string, JobId> m_ByName;
   std::uint64_t m_LastJob = 0;
--- a/packages/batch/internal/workertable.cpp
+++ b/packages/batch/internal/workertable.cpp
@@ -34,32 +34,18 @@
   Known.m_HasReport = true;
 }
 
-void WorkerTable::setLimit(Incarnation Agent, std::uint32_t Limit) {
-  auto Found = m_Workers.find(Agent);
-  if (Found != m_Workers.end())
-    Found->second.m_Limit = Limit;
-}
-
 void WorkerTable::charge(Incarnation Agent, const PlacementJob &Job,
                          std::uint32_t Tasks) {
   Worker &Known = m_Workers.at(Agent);
   Known.m_Placed += Tasks;
-  Known.m_InFlight += Tasks;
   Known.m_Unseen.push_back(
       {Known.m_Placed, Tasks, Job, m_Timers.now() + Job.m_OrderWithin});
 }
 
-void WorkerTable::settle(Incarnation Agent) {
-  auto Found = m_Workers.find(Agent);
-  if (Found != m_Workers.end() && Found->second.m_InFlight > 0)
-    --Found->second.m_InFlight;
-}
-
 bool WorkerTable::isUsable(const Worker &Known,
                            const std::string &Service) const {
   return Known.m_HasReport && Known.m_Report.m_IsAccepting &&
-         Known.m_Report.m_Service == Service &&
-         Known.m_InFlight < Known.m_Limit;
+         Known.m_Report.m_Service == Service;
 }
 
 PlacementWorker WorkerTable::view(const Worker &Known,
--- a/packages/batch/internal/workertable.h
+++ b/packages/batch/internal/workertable.h
@@ -3,7 +3,6 @@
 
 #include "core/itimerservice.h"
 #include "membership/types/peer.h"
-#include "policy/iworkerhealth.h"
 #include "policy/types/placement.h"
 
 #include <deque>
@@ -22,14 +21,10 @@
   void add(const Peer &Agent);
   void remove(Incarnation Agent);
   void report(Incarnation Agent, WorkerReport Report);
-  void setLimit(Incarnation Agent, std::uint32_t Limit);
 
   /// Tasks of \p Job were placed there.
   void charge(Incarnation Agent, const PlacementJob &Job, std::uint32_t Tasks);
 
-  /// A task that was placed there has ended.
-  void settle(Incarnation Agent);
-
   /// The workers of a service that take tasks, but for \p Without.
   std::vector<PlacementWorker> views(const std::string &Service,
                                      const std::set<Incarnation> &Without) const;
@@ -61,8 +56,6 @@
     bool m_HasReport = false;
     std::uint64_t m_Placed = 0;
     std::deque<Charged> m_Unseen;
-    std::uint32_t m_InFlight = 0;
-    std::uint32_t m_Limit = IWorkerHealth::NoLimit;
   };
 
   /// What is usual for the workers of a service.
--- a/packages/worker/internal/backendsession.cpp
+++ b/packages/worker/internal/backendsession.cpp
@@ -23,6 +23,12 @@
 constexpr double LearnedRuns = 10;
 constexpr double Percent = 100;
 constexpr int WholePercent = 100;
+/// A run stands still when it does not get on for this time, or for this part
+/// of its expected time if that is longer.
+constexpr Duration LeastStall = milliseconds(140);
+constexpr int StallDivisor = 4;
+/// Jobs remembered as judged.
+constexpr std::size_t MaxFailedJobs = 1000;
 /// Progress is not looked at before this time, when its steps are too coarse.
 constexpr Duration ProgressFrom = milliseconds(200);
 
@@ -84,6 +90,8 @@
       m_Metrics(Needs.m_Metrics), m_Hooks(std::move(Calls)),
       m_Chart(bindSession(Needs.m_Charts)),
       m_RunChart(bindRun(Needs.m_Charts)), m_Ledger(m_Said.m_Capacity),
+      m_Condition(m_Said.m_Instance, Needs.m_FailureTest(), Needs.m_Charts,
+                  m_Timers, [this] { startWaiting(); }),
       m_Token(Needs.m_FirstToken()), m_LeaseSentAt(m_Timers.now()) {
   m_Context.m_State = m_Chart.initial();
   logEvent(LogLevel::Info, "backend.found",
@@ -215,7 +223,7 @@
 }
 
 void BackendSession::startWaiting() {
-  while (isServing()) {
+  while (isServing() && m_Ledger.occupied() < m_Condition.limit()) {
     RunPointer Next = m_Ledger.nextToStart();
     if (!Next)
       break;
@@ -297,6 +305,7 @@
     RunTime = m_Timers.now() - Ended.m_StartedAt;
   if (How == RunEnd::Succeeded)
     learnSlowness(Ended, RunTime);
+  judge(Ended, How);
   logEvent(LogLevel::Info, "run.ended",
            {{"task", Ended.m_Name.m_Task},
             {"run", Ended.m_Name.m_Run},
@@ -308,6 +317,16 @@
             {"free_millicores", m_Ledger.free().m_MilliCores}});
 }
 
+void BackendSession::judge(const Run &Ended, RunEnd How) {
+  if (How == RunEnd::Succeeded)
+    m_Condition.noteEnd(false);
+  else if (How == RunEnd::Failed &&
+           m_FailedJobs.insert(Ended.m_Job->m_Job).second)
+    m_Condition.noteEnd(true);
+  if (m_FailedJobs.size() > MaxFailedJobs)
+    m_FailedJobs.clear();
+}
+
 void BackendSession::learnSlowness(const Run &Ended, Duration RunTime) {
   double Seen = ratio(RunTime, Ended.m_Job->m_Expected);
   m_Slowness += SlownessWeight * (Seen - m_Slowness);
@@ -344,7 +363,9 @@
   Order.m_LastEnd = m_LastEnd;
   if (RenewsLease)
     Order.m_LeaseUntil = leaseUntil();
-  Order.m_Wait = IsFence ? Duration::zero() : m_Settings.m_HoldWait;
+  bool IsIdle = m_Ledger.occupied() == 0;
+  if (!IsFence)
+    Order.m_Wait = IsIdle ? m_Settings.m_HoldWait : m_Settings.m_BusyHoldWait;
   if (IsFence)
     m_FencePending = m_Token;
   TimePoint SentAt = m_Timers.now();
@@ -431,10 +452,47 @@
     RunPointer Known = m_Ledger.find(Listed.m_Name);
     if (!Known || Known->m_State != RunState::Running)
       continue;
-    Known->m_ProgressPercent = Listed.m_ProgressPercent;
     Known->m_ProgressAt = m_Timers.now();
+    bool HasGrown = Listed.m_ProgressPercent > Known->m_ProgressPercent ||
+                    Known->m_GrewAt == TimePoint{};
+    if (HasGrown)
+      Known->m_GrewAt = m_Timers.now();
+    Known->m_ProgressPercent = Listed.m_ProgressPercent;
     checkHopeless(*Known);
   }
+  stopStalled();
+}
+
+/// Whether the run has stood still for longer than one step of its progress
+/// can take.
+bool BackendSession::isStalled(const Run &Known) const {
+  if (Known.m_State != RunState::Running || Known.m_GrewAt == TimePoint{})
+    return false;
+  Duration Patience =
+      std::max(LeastStall, Known.m_Job->m_Expected / StallDivisor);
+  return Known.m_ProgressAt - Known.m_GrewAt >= Patience;
+}
+
+/// A run that stands still is ended, so that its task can run elsewhere.
+void BackendSession::stopStalled() {
+  bool Any = false;
+  for (const RunPointer &Known : m_Ledger.all()) {
+    if (!isStalled(*Known))
+      continue;
+    Any = true;
+    logEvent(LogLevel::Warning, "run.stalled",
+             {{"task", Known->m_Name.m_Task},
+              {"run", Known->m_Name.m_Run},
+              {"progress_percent", Known->m_ProgressPercent},
+              {"still_ms",
+               toMilliseconds(Known->m_ProgressAt - Known->m_GrewAt)}});
+    fireRun(Known, RunEvent::Stop);
+  }
+  if (!Any)
+    return;
+  m_Condition.noteStall();
+  // What waits here has a better chance elsewhere.
+  dropWaiting();
 }
 
 void BackendSession::checkHopeless(Run &Known) {
@@ -533,7 +591,8 @@
   Report.m_Kind = m_Said.m_Kind;
   Report.m_Capacity = m_Ledger.capacity();
   Report.m_Free = m_Ledger.free();
-  Report.m_IsAccepting = isServing();
+  bool IsFull = m_Ledger.occupied() >= m_Condition.limit();
+  Report.m_IsAccepting = isServing() && !IsFull;
   double Slowness = slowness();
   Report.m_SlownessPercent = static_cast<std::uint32_t>(Percent * Slowness);
   Report.m_MeanRemaining = m_Ledger.meanRemaining(m_Timers.now(), Slowness);
--- a/packages/worker/internal/backendsession.h
+++ b/packages/worker/internal/backendsession.h
@@ -1,6 +1,7 @@
 #ifndef CYCLAMENWALK_WORKER_INTERNAL_BACKENDSESSION_H
 #define CYCLAMENWALK_WORKER_INTERNAL_BACKENDSESSION_H
 
+#include "worker/internal/backendcondition.h"
 #include "worker/internal/runledger.h"
 #include "worker/workermodule.h"
 
@@ -91,10 +92,13 @@
                  const HoldReply &Reply);
   void takeProgress(const HoldReply &Reply);
   void checkHopeless(Run &Known);
+  bool isStalled(const Run &Known) const;
+  void stopStalled();
   void takeEnds(const HoldReply &Reply);
   void takeMissing(const HoldOrder &Sent, TimePoint SentAt, bool IsFence,
                    const std::set<RunName> &Listed);
   void fence(const Run &Doubtful);
+  void judge(const Run &Ended, RunEnd How);
   void learnSlowness(const Run &Ended, Duration RunTime);
   double slowness() const;
 
@@ -112,6 +116,9 @@
   const RunChart m_RunChart;
   Context m_Context;
   RunLedger m_Ledger;
+  BackendCondition m_Condition;
+  /// The jobs of which a run has failed here, each judged once.
+  std::set<JobId> m_FailedJobs;
   std::uint64_t m_Token = 0;
   std::uint64_t m_TokenJump = 1;
   /// The token that a hold under way is to confirm; zero for none.
--- a/packages/worker/internal/run.h
+++ b/packages/worker/internal/run.h
@@ -66,6 +66,8 @@
   /// The share of its work that was done at m_ProgressAt, percent.
   std::uint32_t m_ProgressPercent = 0;
   TimePoint m_ProgressAt;
+  /// When its progress was last seen to grow.
+  TimePoint m_GrewAt;
   /// Whether the entry was told that it cannot end in time.
   bool m_IsHopeless = false;
   /// When it was last asked to stop; zero before.
--- a/packages/worker/internal/runledger.cpp
+++ b/packages/worker/internal/runledger.cpp
@@ -60,9 +60,13 @@
 
 void RunLedger::occupy(const Run &Started) {
   m_InUse += Started.m_Job->m_Need;
+  ++m_Occupied;
 }
 
-void RunLedger::release(const Run &Ended) { m_InUse -= Ended.m_Job->m_Need; }
+void RunLedger::release(const Run &Ended) {
+  m_InUse -= Ended.m_Job->m_Need;
+  --m_Occupied;
+}
 
 std::vector<WaitingWork> RunLedger::waiting(TimePoint Now) const {
   std::vector<WaitingWork> Steps;
--- a/packages/worker/internal/runledger.h
+++ b/packages/worker/internal/runledger.h
@@ -19,6 +19,9 @@
 
   Room free() const { return m_Capacity - m_InUse; }
 
+  /// Runs that hold room.
+  std::size_t occupied() const { return m_Occupied; }
+
   void add(const RunPointer &Added);
   void erase(const Run &Gone);
   RunPointer find(const RunName &Name) const;
@@ -48,6 +51,7 @@
 
   Room m_Capacity;
   Room m_InUse;
+  std::size_t m_Occupied = 0;
   std::map<RunName, RunPointer> m_Runs;
   Queue m_Queue;
 };
--- a/packages/worker/internal/workerservice.cpp
+++ b/packages/worker/internal/workerservice.cpp
@@ -3,9 +3,35 @@
 #include "core/log.h"
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace cyclamenwalk {
 
+namespace {
+
+/// Changes of free room that entries are told of at once, percent of the
+/// capacity: small ones matter only while little is free.
+constexpr std::int64_t LargeChange = 12;
+constexpr std::int64_t SmallChange = 5;
+constexpr std::int64_t LittleFree = 25;
+constexpr std::int64_t WholePercent = 100;
+
+bool isNews(const WorkerReport &Told, const WorkerReport &Now) {
+  bool HasFlipped = Told.m_IsAccepting != Now.m_IsAccepting ||
+                    Told.m_Capacity != Now.m_Capacity ||
+                    Told.m_Waiting.size() != Now.m_Waiting.size();
+  if (HasFlipped)
+    return true;
+  std::int64_t Capacity = std::max<std::int64_t>(1, Now.m_Capacity.m_MilliCores);
+  std::int64_t Free = Now.m_Free.m_MilliCores * WholePercent / Capacity;
+  std::int64_t Before = Told.m_Free.m_MilliCores * WholePercent / Capacity;
+  std::int64_t Limit =
+      std::min(Free, Before) < LittleFree ? SmallChange : LargeChange;
+  return std::abs(Free - Before) >= Limit;
+}
+
+} // namespace
+
 WorkerService::WorkerService(WorkerSettings Settings, WorkerDependencies Needs)
     : m_Settings(Settings), m_Needs(std::move(Needs)),
       m_Timers(m_Needs.m_Timers) {
@@ -181,15 +207,25 @@
   if (SessionPointer Known = current())
     State = Known->report();
   State.m_IsAccepting = State.m_IsAccepting && !m_IsDraining;
-  for (auto &Known : m_Entries)
+  bool IsAnyBehind = false;
+  for (auto &Known : m_Entries) {
     flushTo(Known.first, Known.second, State);
+    IsAnyBehind = IsAnyBehind || Known.second.m_IsBehind;
+  }
+  if (IsAnyBehind)
+    scheduleFlush(m_Settings.m_ReportPeriod);
 }
 
 void WorkerService::flushTo(Incarnation Entry, LinkedEntry &Known,
                             const WorkerReport &State) {
-  if (Known.m_Ends.empty() && !Known.m_IsBehind)
+  bool IsNews = Known.m_IsBehind &&
+                (m_Timers.now() - Known.m_ToldAt >= m_Settings.m_ReportPeriod ||
+                 isNews(Known.m_Told, State));
+  if (Known.m_Ends.empty() && !IsNews)
     return;
   Known.m_IsBehind = false;
+  Known.m_Told = State;
+  Known.m_ToldAt = m_Timers.now();
   WorkerReport Report = State;
   Report.m_PlacedSeen = Known.m_PlacedSeen;
   if (Known.m_Ends.empty()) {
--- a/packages/worker/internal/workerservice.h
+++ b/packages/worker/internal/workerservice.h
@@ -28,6 +28,9 @@
     std::vector<TaskEnd> m_Ends;
     /// Whether it has to be told of the worker's state.
     bool m_IsBehind = true;
+    /// What it was told last, and when.
+    WorkerReport m_Told;
+    TimePoint m_ToldAt;
   };
 
   SessionPointer findSession(const std::string &Instance) const;
--- a/packages/worker/types/backend.h
+++ b/packages/worker/types/backend.h
@@ -122,12 +122,16 @@
   Duration m_Lease = milliseconds(1000);
   /// How long the server holds an answer back while nothing ends.
   Duration m_HoldWait = milliseconds(300);
+  /// The same while runs are under way, whose progress is watched.
+  Duration m_BusyHoldWait = milliseconds(100);
   /// After its lease, and this for clocks of unequal speed, a run is over.
   Duration m_LeaseSlack = milliseconds(100);
   /// Pause between looks while runs of an earlier agent are being ended.
   Duration m_LookPause = milliseconds(30);
   /// How long reports are collected before they are sent.
-  Duration m_ReportDelay = milliseconds(4);
+  Duration m_ReportDelay = milliseconds(5);
+  /// Within this time entries are also told of changes that matter little.
+  Duration m_ReportPeriod = milliseconds(100);
   /// How often a report is repeated while runs take longer than expected.
   Duration m_OverduePeriod = milliseconds(150);
   /// Longest stay of a placed task in the queue.
--- a/packages/worker/workermodule.h
+++ b/packages/worker/workermodule.h
@@ -5,6 +5,7 @@
 #include "core/itimerservice.h"
 #include "membership/ilinks.h"
 #include "statechart/ichartsource.h"
+#include "policy/types/failuretest.h"
 #include "worker/ibackendcontrol.h"
 #include "worker/iworkerservice.h"
 
@@ -21,6 +22,8 @@
   IMetrics &m_Metrics;
   /// A fencing token above that of every earlier agent of this worker.
   std::function<std::uint64_t()> m_FirstToken;
+  /// Judges the backend server by how its runs end.
+  FailureTestFactory m_FailureTest = makeSequentialTest;
 };
 
 std::unique_ptr<IWorkerService> makeWorkerService(WorkerSettings Settings,
