--- a/packages/batch/internal/batchservice.cpp
+++ b/packages/batch/internal/batchservice.cpp
@@ -80,8 +80,7 @@
           T.m_Job->m_HasRun = true;
           ++T.m_Failures;
         }},
-       {"noteInterruption",
-        [](BatchTask &T) { T.m_Job->m_HasRun = true; }},
+       {"noteInterruption", [](BatchTask &T) { T.m_Job->m_HasRun = true; }},
        {"giveUpFailed",
         [this](BatchTask &T) { giveUp(*T.m_Job, ResultCode::TaskFailed); }},
        {"giveUpUnknown",
@@ -216,8 +215,8 @@
 PlacementPlan BatchService::plan(const BatchJob &Known,
                                  const PlacementJob &Wanted) const {
   const std::string &Service = Known.m_Spec.m_Service;
-  auto Elsewhere = m_Hooks.m_Placement(
-      m_Workers.views(Service, Known.m_FailedOn), Wanted);
+  auto Elsewhere =
+      m_Hooks.m_Placement(m_Workers.views(Service, Known.m_FailedOn), Wanted);
   if (!Elsewhere.m_Agents.empty() || Known.m_FailedOn.empty())
     return Elsewhere;
   return m_Hooks.m_Placement(m_Workers.views(Service, {}), Wanted);
@@ -271,9 +270,9 @@
   PlacementJob Wanted = describePlacement(Owner, Unplaced);
   PlacementPlan Plan = plan(Owner, Wanted);
   Duration Remaining = Owner.m_DeadlineAt - m_Timers.now();
-  bool IsOver = Plan.m_Agents.empty() ||
-                Plan.m_LongestWait + scaled(Wanted.m_Expected, LeastRunPart) >
-                    Remaining;
+  bool IsOver =
+      Plan.m_Agents.empty() ||
+      Plan.m_LongestWait + scaled(Wanted.m_Expected, LeastRunPart) > Remaining;
   logEvent(LogLevel::Info, IsOver ? "job.hopeless" : "job.placed_again",
            {{"job", Owner.m_Spec.m_Name},
             {"tasks", Unplaced},
@@ -315,8 +314,7 @@
 std::size_t BatchService::waiting(const std::string &Route) const {
   return static_cast<std::size_t>(
       std::count_if(m_Jobs.begin(), m_Jobs.end(), [&Route](const auto &Known) {
-        return Known.second->m_Spec.m_Route == Route &&
-               !Known.second->m_HasRun;
+        return Known.second->m_Spec.m_Route == Route && !Known.second->m_HasRun;
       }));
 }
 
--- a/packages/batch/internal/workertable.h
+++ b/packages/batch/internal/workertable.h
@@ -26,8 +26,8 @@
   void charge(Incarnation Agent, const PlacementJob &Job, std::uint32_t Tasks);
 
   /// The workers of a service that take tasks, but for \p Without.
-  std::vector<PlacementWorker> views(const std::string &Service,
-                                     const std::set<Incarnation> &Without) const;
+  std::vector<PlacementWorker>
+  views(const std::string &Service, const std::set<Incarnation> &Without) const;
 
   /// Run time of tasks against their estimates, over all workers.
   double meanSlowness(const std::string &Service) const;
--- a/packages/batch/tests/batchservice_test.cpp
+++ b/packages/batch/tests/batchservice_test.cpp
@@ -1,1 +1,266 @@
+#include "batch/batchmodule.h"
+#include "core/tests/mocks/manualtimerservice.h"
+#include "core/tests/mocks/metricsmock.h"
+#include "membership/tests/mocks/linksfake.h"
+#include "statechart/chartfolder.h"
+
 #include <gtest/gtest.h>
+
+using namespace cyclamenwalk;
+
+namespace {
+
+constexpr Room Capacity{64000, 262144, 0};
+constexpr Room Need{8000, 64, 0};
+constexpr Incarnation Own{1};
+
+/// An entry with workers that a test speaks for.
+class BatchServiceTest : public testing::Test {
+protected:
+  BatchServiceTest()
+      : m_Charts(CW_CHART_DIR),
+        m_Jobs(makeBatchService(Own, BatchSettings{}, BatchHooks{},
+                                {m_Charts, m_Links, m_Timers, m_Metrics})) {}
+
+  static Peer agent(std::uint64_t Id) {
+    return {
+        "agent-" + std::to_string(Id), {Id}, "10.0.0.9:1", "z", Role::Agent};
+  }
+
+  WorkerReport report(std::int64_t FreeMilliCores = Capacity.m_MilliCores) {
+    WorkerReport Report;
+    Report.m_Service = "gatepost";
+    Report.m_Capacity = Capacity;
+    Report.m_Free = {FreeMilliCores, Capacity.m_MemoryMb, 0};
+    Report.m_IsAccepting = true;
+    Report.m_MeanRemaining = milliseconds(200);
+    Report.m_PlacedSeen = m_Placed;
+    return Report;
+  }
+
+  void addWorker(std::uint64_t Id, WorkerReport Report) {
+    m_Jobs->agentUp(agent(Id));
+    receive(Id, std::move(Report));
+  }
+
+  void receive(std::uint64_t Id, Message Body) { m_Jobs->receive({Id}, Body); }
+
+  BatchSpec spec(std::uint32_t Tasks, const std::string &Name = "a1") {
+    BatchSpec Spec;
+    Spec.m_Name = Name;
+    Spec.m_BackendName = Name + ".0.0";
+    Spec.m_Route = "r-1";
+    Spec.m_Service = "gatepost";
+    Spec.m_Tasks = Tasks;
+    Spec.m_Need = Need;
+    Spec.m_Estimated = milliseconds(100);
+    Spec.m_Deadline = seconds(2);
+    Spec.m_MaxAttempts = 2;
+    Spec.m_SlackFactor = 1.6;
+    Spec.m_TargetLatency = milliseconds(60);
+    return Spec;
+  }
+
+  JobId submit(BatchSpec Spec) {
+    return m_Jobs->submit(std::move(Spec), [this](const BatchAnswer &Answer) {
+      m_Answers.push_back(Answer);
+    });
+  }
+
+  /// All placements sent since the last call.
+  std::vector<std::pair<Incarnation, PlaceTasks>> placements() {
+    auto Found = m_Links.sent<PlaceTasks>();
+    m_Links.m_Sent.clear();
+    return Found;
+  }
+
+  void end(std::uint64_t Agent, JobId Job, std::uint32_t Index,
+           std::uint32_t Run, RunEnd How, Duration Margin = milliseconds(50)) {
+    TaskEnds Body;
+    Body.m_Ends.push_back({Job, Index, Run, How, milliseconds(90), Margin});
+    Body.m_Report = report();
+    receive(Agent, std::move(Body));
+  }
+
+  ChartFolder m_Charts;
+  LinksFake m_Links;
+  ManualTimerService m_Timers;
+  MetricsFake m_Metrics;
+  std::unique_ptr<IBatchService> m_Jobs;
+  std::vector<BatchAnswer> m_Answers;
+  std::uint64_t m_Placed = 0;
+};
+
+TEST_F(BatchServiceTest, AnswersWhenTheLastTaskHasEnded) {
+  addWorker(11, report());
+  JobId Job = submit(spec(2));
+  ASSERT_EQ(placements().size(), 1u);
+  end(11, Job, 0, 1, RunEnd::Succeeded);
+  EXPECT_TRUE(m_Answers.empty());
+  end(11, Job, 1, 1, RunEnd::Succeeded);
+  ASSERT_EQ(m_Answers.size(), 1u);
+  EXPECT_EQ(m_Answers[0].m_Code, ResultCode::Ok);
+}
+
+TEST_F(BatchServiceTest, SpreadsAJobOverWorkersWithRoom) {
+  addWorker(11, report(8000));
+  addWorker(12, report(24000));
+  submit(spec(4));
+  auto Sent = placements();
+  ASSERT_EQ(Sent.size(), 2u);
+  std::size_t On12 = Sent[0].first == Incarnation{12} ? 0 : 1;
+  EXPECT_EQ(Sent[On12].second.m_Tasks.size(), 3u);
+}
+
+TEST_F(BatchServiceTest, TriesAFailedTaskElsewhereUpToItsAttempts) {
+  addWorker(11, report());
+  addWorker(12, report());
+  JobId Job = submit(spec(1));
+  auto First = placements();
+  ASSERT_EQ(First.size(), 1u);
+  end(First[0].first.m_Value, Job, 0, 1, RunEnd::Failed);
+  auto Second = placements();
+  ASSERT_EQ(Second.size(), 1u);
+  EXPECT_NE(Second[0].first, First[0].first);
+  EXPECT_EQ(Second[0].second.m_Tasks[0].m_Run, 2u);
+  end(Second[0].first.m_Value, Job, 0, 2, RunEnd::Failed);
+  ASSERT_EQ(m_Answers.size(), 1u);
+  EXPECT_EQ(m_Answers[0].m_Code, ResultCode::TaskFailed);
+}
+
+TEST_F(BatchServiceTest, AnInterruptedRunDoesNotCountAsAnAttempt) {
+  addWorker(11, report());
+  addWorker(12, report());
+  JobId Job = submit(spec(1));
+  std::uint32_t Run = 1;
+  for (; Run <= 4; ++Run) {
+    auto Sent = placements();
+    ASSERT_EQ(Sent.size(), 1u);
+    end(Sent[0].first.m_Value, Job, 0, Run, RunEnd::Stopped);
+  }
+  EXPECT_TRUE(m_Answers.empty());
+}
+
+TEST_F(BatchServiceTest, SaysThatAJobDidNotRunOnlyWhenNoTaskBegan) {
+  addWorker(11, report());
+  JobId Job = submit(spec(2));
+  WorkerReport Closed = report();
+  Closed.m_IsAccepting = false;
+  TaskEnds Body;
+  Body.m_Report = Closed;
+  Body.m_Ends = {{Job, 0, 1, RunEnd::NotStarted, {}, {}}};
+  receive(11, Body);
+  ASSERT_EQ(m_Answers.size(), 1u);
+  EXPECT_EQ(outcomeOf(m_Answers[0].m_Code), Outcome::OutcomeUnknown)
+      << "the other task may have begun";
+
+  addWorker(12, report());
+  JobId Second = submit(spec(1, "b2"));
+  Body.m_Ends = {{Second, 0, 1, RunEnd::NotStarted, {}, {}}};
+  receive(12, Body);
+  ASSERT_EQ(m_Answers.size(), 2u);
+  EXPECT_EQ(outcomeOf(m_Answers[1].m_Code), Outcome::DidNotRun);
+  EXPECT_TRUE(m_Answers[1].m_RetryAfter);
+}
+
+TEST_F(BatchServiceTest, ALostAgentMakesTheOutcomeUnknownAndStopsTheRest) {
+  addWorker(11, report(8000));
+  addWorker(12, report(8000));
+  submit(spec(2));
+  ASSERT_EQ(placements().size(), 2u);
+  m_Jobs->agentDown(agent(11));
+  ASSERT_EQ(m_Answers.size(), 1u);
+  EXPECT_EQ(m_Answers[0].m_Code, ResultCode::AgentLost);
+  auto Stops = m_Links.sent<StopJob>();
+  ASSERT_FALSE(Stops.empty());
+  EXPECT_EQ(Stops.back().first, Incarnation{12});
+}
+
+TEST_F(BatchServiceTest, RefusesAtOnceWhatNoWorkerCanHold) {
+  addWorker(11, report());
+  BatchSpec Huge = spec(1);
+  Huge.m_Need.m_MilliCores = 2 * Capacity.m_MilliCores;
+  submit(Huge);
+  ASSERT_EQ(m_Answers.size(), 1u);
+  EXPECT_EQ(m_Answers[0].m_Code, ResultCode::ImpossibleJob);
+}
+
+TEST_F(BatchServiceTest, RefusesAtOnceWhatWouldBeLate) {
+  WorkerReport Full = report(0);
+  Full.m_Waiting = {{milliseconds(20), 64000}};
+  addWorker(11, Full);
+  submit(spec(2));
+  ASSERT_EQ(m_Answers.size(), 1u);
+  EXPECT_EQ(m_Answers[0].m_Code, ResultCode::DeadlineUnreachable);
+  EXPECT_TRUE(placements().empty());
+}
+
+TEST_F(BatchServiceTest, CountsWhatAReportDoesNotShowYet) {
+  addWorker(11, report(16000));
+  addWorker(12, report(9000));
+  submit(spec(2, "a1"));
+  ASSERT_EQ(placements().size(), 2u);
+  submit(spec(1, "b2"));
+  auto Sent = placements();
+  ASSERT_EQ(Sent.size(), 1u);
+  EXPECT_EQ(Sent[0].first, Incarnation{11});
+}
+
+TEST_F(BatchServiceTest, TheDeadlineEndsAJobThatRuns) {
+  addWorker(11, report());
+  submit(spec(1));
+  m_Timers.advance(seconds(2));
+  ASSERT_EQ(m_Answers.size(), 1u);
+  EXPECT_EQ(m_Answers[0].m_Code, ResultCode::DeadlineWhileRunning);
+  EXPECT_EQ(m_Links.sent<StopJob>().size(), 1u);
+}
+
+TEST_F(BatchServiceTest, AJobThatCannotEndInTimeIsAnsweredEarly) {
+  addWorker(11, report());
+  JobId Job = submit(spec(1));
+  receive(11, TaskHopeless{Job, 0, 1});
+  ASSERT_EQ(m_Answers.size(), 1u);
+  EXPECT_EQ(m_Answers[0].m_Code, ResultCode::DeadlineWhileRunning);
+}
+
+TEST_F(BatchServiceTest, OneNameIsOneJobAndEndsWithItsLastCaller) {
+  addWorker(11, report());
+  JobId Job = submit(spec(1));
+  EXPECT_EQ(submit(spec(1)), Job);
+  EXPECT_EQ(placements().size(), 1u);
+  m_Jobs->abandon(Job);
+  EXPECT_TRUE(m_Answers.empty());
+  m_Jobs->abandon(Job);
+  EXPECT_EQ(m_Answers.size(), 2u);
+  EXPECT_EQ(m_Links.sent<StopJob>().size(), 1u);
+}
+
+TEST_F(BatchServiceTest, ARunThatWasTooLowIsTriedWithAHigherNumber) {
+  addWorker(11, report());
+  JobId Job = submit(spec(1));
+  placements();
+  end(11, Job, 0, 1, RunEnd::RunTooLow);
+  auto Sent = placements();
+  ASSERT_EQ(Sent.size(), 1u);
+  EXPECT_GT(Sent[0].second.m_Tasks[0].m_Run, 100u);
+}
+
+TEST_F(BatchServiceTest, LateStartsMakeAdmissionStricter) {
+  addWorker(11, report());
+  WorkerReport Busy = report(4000);
+  for (std::uint64_t I = 0; I < 60; ++I) {
+    JobId Job = submit(spec(1, "w" + std::to_string(I)));
+    ++m_Placed;
+    end(11, Job, 0, 1, RunEnd::Succeeded, milliseconds(-20));
+  }
+  m_Answers.clear();
+  Busy.m_PlacedSeen = m_Placed;
+  receive(11, Busy);
+  BatchSpec Last = spec(1, "z9");
+  Last.m_Priority = 1;
+  submit(Last);
+  ASSERT_EQ(m_Answers.size(), 1u);
+  EXPECT_EQ(m_Answers[0].m_Code, ResultCode::DeadlineUnreachable);
+}
+
+} // namespace
--- a/packages/http/internal/httpserver.cpp
+++ b/packages/http/internal/httpserver.cpp
@@ -140,8 +140,8 @@
         {MHD_OPTION_NOTIFY_CONNECTION,
          reinterpret_cast<std::intptr_t>(&Impl::noteConnection), this},
         {MHD_OPTION_THREAD_STACK_SIZE, ConnectionStack, nullptr},
-        {MHD_OPTION_CONNECTION_TIMEOUT,
-         static_cast<std::intptr_t>(IdleSeconds), nullptr},
+        {MHD_OPTION_CONNECTION_TIMEOUT, static_cast<std::intptr_t>(IdleSeconds),
+         nullptr},
         {MHD_OPTION_END, 0, nullptr}};
     unsigned Flags =
         MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD;
@@ -179,9 +179,10 @@
   };
 
   static void noteConnection(void *Server, struct MHD_Connection *Connection,
-                             void **, enum MHD_ConnectionNotificationCode What) {
-    auto *Caller = MHD_get_connection_info(
-        Connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+                             void **,
+                             enum MHD_ConnectionNotificationCode What) {
+    auto *Caller =
+        MHD_get_connection_info(Connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
     auto *Socket =
         MHD_get_connection_info(Connection, MHD_CONNECTION_INFO_CONNECTION_FD);
     if (!Caller || !Socket)
--- a/packages/http/internal/multiplexhttp.cpp
+++ b/packages/http/internal/multiplexhttp.cpp
@@ -32,7 +32,8 @@
 };
 
 bool cannotHaveBeenSent(CURLcode Result) {
-  return Result == CURLE_COULDNT_CONNECT || Result == CURLE_COULDNT_RESOLVE_HOST;
+  return Result == CURLE_COULDNT_CONNECT ||
+         Result == CURLE_COULDNT_RESOLVE_HOST;
 }
 
 } // namespace
--- a/packages/metrics/internal/metricsregistry.cpp
+++ b/packages/metrics/internal/metricsregistry.cpp
@@ -84,13 +84,13 @@
                            .Register(m_Registry)
                            .Add({});
     for (std::size_t I = 0; I < TimingCount; ++I)
-      m_Histograms[I] = &prometheus::BuildHistogram()
-                             .Name(std::string("cyclamenwalk_") +
-                                   TimingTexts[I].m_Name)
-                             .Help(TimingTexts[I].m_Help)
-                             .Labels(m_Labels)
-                             .Register(m_Registry)
-                             .Add({}, LatencyBounds);
+      m_Histograms[I] =
+          &prometheus::BuildHistogram()
+               .Name(std::string("cyclamenwalk_") + TimingTexts[I].m_Name)
+               .Help(TimingTexts[I].m_Help)
+               .Labels(m_Labels)
+               .Register(m_Registry)
+               .Add({}, LatencyBounds);
   }
 
   void observe(Timing What, Duration Taken) {
--- a/packages/policy/internal/placement.cpp
+++ b/packages/policy/internal/placement.cpp
@@ -90,8 +90,8 @@
   std::int64_t Free = std::max<std::int64_t>(0, Worker.m_Free.m_MilliCores);
   std::int64_t Missing =
       std::max<std::int64_t>(0, Ahead + Job.m_Need.m_MilliCores - Free);
-  return scaled(Worker.m_MeanRemaining * 2, static_cast<double>(Missing) /
-                                                static_cast<double>(Capacity));
+  return scaled(Worker.m_MeanRemaining * 2,
+                static_cast<double>(Missing) / static_cast<double>(Capacity));
 }
 
 void countTask(PlacementWorker &Worker, const PlacementJob &Job,
@@ -121,12 +121,11 @@
 }
 
 bool admitWithinObjective(const ObjectiveView &View) {
-  double Share = std::max(LeastShare, FirstPriorityShare -
-                                          ShareLessPerPriority *
-                                              View.m_Priority);
+  double Share = std::max(
+      LeastShare, FirstPriorityShare - ShareLessPerPriority * View.m_Priority);
   // The first priority gives up waiting last.
-  Share *= View.m_Priority == 0 ? std::sqrt(View.m_SlackShare)
-                                : View.m_SlackShare;
+  Share *=
+      View.m_Priority == 0 ? std::sqrt(View.m_SlackShare) : View.m_SlackShare;
   if (View.m_LongestWait > scaled(View.m_StartWithin, Share))
     return false;
   bool IsIdle = View.m_UsedShare < IdleShare;
--- /dev/null
+++ b/packages/policy/tests/placement_test.cpp
@@ -0,0 +1,137 @@
+#include "policy/types/placement.h"
+
+#include <gtest/gtest.h>
+
+using namespace cyclamenwalk;
+
+namespace {
+
+constexpr Room Capacity{64000, 262144, 0};
+
+PlacementWorker worker(std::uint64_t Id, std::int64_t FreeMilliCores) {
+  PlacementWorker Worker;
+  Worker.m_Agent = {Id};
+  Worker.m_Capacity = Capacity;
+  Worker.m_Free = {FreeMilliCores, Capacity.m_MemoryMb, 0};
+  Worker.m_MeanRemaining = milliseconds(200);
+  return Worker;
+}
+
+PlacementJob job(std::uint32_t Tasks) {
+  PlacementJob Job;
+  Job.m_Tasks = Tasks;
+  Job.m_Need = {6000, 64, 0};
+  Job.m_Expected = milliseconds(50);
+  Job.m_StartWithin = milliseconds(80);
+  Job.m_OrderWithin = milliseconds(80);
+  return Job;
+}
+
+TEST(PlacementTest, ATaskThatFitsDoesNotWait) {
+  EXPECT_EQ(forecastWait(worker(1, 6000), job(1)), Duration::zero());
+}
+
+TEST(PlacementTest, TheWaitGrowsWithWhatIsAhead) {
+  PlacementWorker Full = worker(1, 0);
+  Duration Alone = forecastWait(Full, job(1));
+  EXPECT_GT(Alone, milliseconds(10));
+  Full.m_Waiting = {{milliseconds(20), 12000}};
+  EXPECT_GT(forecastWait(Full, job(1)), Alone * 2);
+  Full.m_Waiting = {{milliseconds(500), 12000}};
+  EXPECT_EQ(forecastWait(Full, job(1)), Alone) << "less urgent work is behind";
+}
+
+TEST(PlacementTest, AWideJobIsSpreadOverTheRoomThatIsThere) {
+  auto Plan =
+      placeByEarliestFinish({worker(1, 18000), worker(2, 30000)}, job(8));
+  EXPECT_EQ(Plan.m_Agents.size(), 8u);
+  EXPECT_EQ(Plan.m_LongestWait, Duration::zero());
+}
+
+TEST(PlacementTest, AFasterWorkerIsPreferredUntilItIsFull) {
+  PlacementWorker Slow = worker(1, 64000);
+  Slow.m_Slowness = 1.5;
+  auto Plan = placeByEarliestFinish({Slow, worker(2, 18000)}, job(4));
+  auto OnFast =
+      std::count(Plan.m_Agents.begin(), Plan.m_Agents.end(), Incarnation{2});
+  EXPECT_EQ(OnFast, 3);
+}
+
+TEST(PlacementTest, TheBaselineIgnoresSpeed) {
+  PlacementWorker Slow = worker(1, 64000);
+  Slow.m_Slowness = 3;
+  auto Plan = placeByLeastLoad({Slow, worker(2, 18000)}, job(4));
+  EXPECT_EQ(
+      std::count(Plan.m_Agents.begin(), Plan.m_Agents.end(), Incarnation{1}),
+      4);
+}
+
+TEST(PlacementTest, TheRackOfTheDataIsPreferred) {
+  PlacementWorker Near = worker(1, 12000);
+  Near.m_Rack = "r1";
+  PlacementWorker Far = worker(2, 64000);
+  Far.m_Rack = "r2";
+  PlacementJob Job = job(1);
+  Job.m_Rack = "r1";
+  Job.m_RemotePenalty = 2;
+  auto Plan = placeByEarliestFinish({Far, Near}, Job);
+  EXPECT_EQ(Plan.m_Agents.front(), Incarnation{1});
+}
+
+TEST(PlacementTest, NoWorkerThatIsTooSmallIsChosen) {
+  PlacementJob Job = job(1);
+  Job.m_Need = {90000, 64, 0};
+  EXPECT_TRUE(placeByEarliestFinish({worker(1, 64000)}, Job).m_Agents.empty());
+}
+
+ObjectiveView view(Duration Wait, std::uint32_t Priority = 0) {
+  ObjectiveView View;
+  View.m_LongestWait = Wait;
+  View.m_StartWithin = milliseconds(80);
+  View.m_Remaining = seconds(2);
+  View.m_Expected = milliseconds(50);
+  View.m_Priority = Priority;
+  return View;
+}
+
+TEST(ObjectiveAdmissionTest, RefusesWhatWouldStartTooLate) {
+  EXPECT_TRUE(admitWithinObjective(view(milliseconds(70))));
+  EXPECT_FALSE(admitWithinObjective(view(milliseconds(90))));
+  EXPECT_TRUE(admitAlways(view(milliseconds(90))));
+}
+
+TEST(ObjectiveAdmissionTest, LowerPrioritiesStopFirst) {
+  EXPECT_TRUE(admitWithinObjective(view(milliseconds(75), 0)));
+  EXPECT_FALSE(admitWithinObjective(view(milliseconds(75), 2)));
+}
+
+TEST(ObjectiveAdmissionTest, DoubtfulJobsAreTriedOnlyWhileWorkersAreIdle) {
+  ObjectiveView Doubtful = view(Duration::zero());
+  Doubtful.m_Expected = seconds(4);
+  Doubtful.m_StartWithin = seconds(3);
+  EXPECT_TRUE(admitWithinObjective(Doubtful));
+  Doubtful.m_UsedShare = 0.9;
+  EXPECT_FALSE(admitWithinObjective(Doubtful));
+}
+
+/// A crest that lasts: while starts are late, less waiting is admitted.
+TEST(AdaptiveSlackTest, ShrinksWhileStartsAreLateAndRecovers) {
+  SlackControl Control = makeAdaptiveSlack();
+  double Share = 1;
+  for (int I = 0; I < 100; ++I)
+    Share = Control(I % 4 == 0);
+  EXPECT_LT(Share, 0.6);
+  for (int I = 0; I < 1000; ++I)
+    Share = Control(false);
+  EXPECT_DOUBLE_EQ(Share, 1.0);
+  EXPECT_DOUBLE_EQ(makeWholeSlack()(true), 1.0);
+}
+
+TEST(WaitingOrderTest, AShortUrgentTaskGoesBeforeOneThatCanWait) {
+  EXPECT_LT(orderByStartAndPriority(milliseconds(140), 0),
+            orderByStartAndPriority(milliseconds(80), 1));
+  EXPECT_GT(orderByStart(milliseconds(140), 0),
+            orderByStart(milliseconds(80), 1));
+}
+
+} // namespace
--- a/packages/policy/types/placement.h
+++ b/packages/policy/types/placement.h
@@ -78,8 +78,8 @@
 /// The baseline: the latest useful start alone.
 Duration orderByStart(Duration StartWithin, std::uint32_t Priority);
 
-using WaitingOrder = std::function<Duration(Duration StartWithin,
-                                            std::uint32_t Priority)>;
+using WaitingOrder =
+    std::function<Duration(Duration StartWithin, std::uint32_t Priority)>;
 
 /// What the admission of a job that was planned is decided on.
 struct ObjectiveView {
--- a/packages/worker/internal/backendcondition.cpp
+++ b/packages/worker/internal/backendcondition.cpp
@@ -30,15 +30,14 @@
 BackendCondition::~BackendCondition() { m_Timers.cancel(m_Timer); }
 
 BackendCondition::Chart BackendCondition::bind(const IChartSource &Charts) {
-  return Chart(Charts.chart("condition"),
-               {{"hasEnoughProbes",
-                 [](const Context &C) {
-                   return C.m_Probes + 1 >= ProbesNeeded;
-                 }}},
-               {{"rest", [this](Context &C) { rest(C); }},
-                {"probe", [](Context &C) { C.m_Probes = 0; }},
-                {"countProbe", [](Context &C) { ++C.m_Probes; }},
-                {"recover", [](Context &C) { C.m_Pause = {}; }}});
+  return Chart(
+      Charts.chart("condition"),
+      {{"hasEnoughProbes",
+        [](const Context &C) { return C.m_Probes + 1 >= ProbesNeeded; }}},
+      {{"rest", [this](Context &C) { rest(C); }},
+       {"probe", [](Context &C) { C.m_Probes = 0; }},
+       {"countProbe", [](Context &C) { ++C.m_Probes; }},
+       {"recover", [](Context &C) { C.m_Pause = {}; }}});
 }
 
 void BackendCondition::fire(ConditionEvent What) {
@@ -48,12 +47,12 @@
     return;
   auto State = static_cast<std::size_t>(m_Context.m_State);
   auto Event = static_cast<std::size_t>(What);
-  logEvent(LogLevel::Warning, "backend.condition",
-           {{"instance", m_Instance},
-            {"condition",
-             std::string(ChartNames<ConditionState>::Values[State])},
-            {"cause", std::string(ChartNames<ConditionEvent>::Values[Event])},
-            {"pause_ms", toMilliseconds(m_Context.m_Pause)}});
+  logEvent(
+      LogLevel::Warning, "backend.condition",
+      {{"instance", m_Instance},
+       {"condition", std::string(ChartNames<ConditionState>::Values[State])},
+       {"cause", std::string(ChartNames<ConditionEvent>::Values[Event])},
+       {"pause_ms", toMilliseconds(m_Context.m_Pause)}});
   m_Changed();
 }
 
--- a/packages/worker/internal/backendsession.cpp
+++ b/packages/worker/internal/backendsession.cpp
@@ -33,9 +33,9 @@
 constexpr Duration ProgressFrom = milliseconds(200);
 
 double ratio(Duration Actual, Duration Expected) {
-  double Quotient = static_cast<double>(Actual.count()) /
-                    static_cast<double>(std::max<Duration::rep>(
-                        1, Expected.count()));
+  double Quotient =
+      static_cast<double>(Actual.count()) /
+      static_cast<double>(std::max<Duration::rep>(1, Expected.count()));
   return std::clamp(Quotient, LeastRatio, GreatestRatio);
 }
 
@@ -85,10 +85,9 @@
 BackendSession::BackendSession(BackendAnnouncement Said,
                                WorkerSettings Settings,
                                const WorkerDependencies &Needs, Hooks Calls)
-    : m_Said(std::move(Said)), m_Settings(Settings),
-      m_Control(Needs.m_Control), m_Timers(Needs.m_Timers),
-      m_Metrics(Needs.m_Metrics), m_Hooks(std::move(Calls)),
-      m_Chart(bindSession(Needs.m_Charts)),
+    : m_Said(std::move(Said)), m_Settings(Settings), m_Control(Needs.m_Control),
+      m_Timers(Needs.m_Timers), m_Metrics(Needs.m_Metrics),
+      m_Hooks(std::move(Calls)), m_Chart(bindSession(Needs.m_Charts)),
       m_RunChart(bindRun(Needs.m_Charts)), m_Ledger(m_Said.m_Capacity),
       m_Condition(m_Said.m_Instance, Needs.m_FailureTest(), Needs.m_Charts,
                   m_Timers, [this] { startWaiting(); }),
@@ -205,8 +204,8 @@
   m_Ledger.add(Added);
   m_Ledger.queue(Added);
   RunName Name = Added->m_Name;
-  Added->m_ExpiryTimer = m_Timers.subscribe(
-      m_Settings.m_LongestWait, [this, Name] { expire(Name); });
+  Added->m_ExpiryTimer = m_Timers.subscribe(m_Settings.m_LongestWait,
+                                            [this, Name] { expire(Name); });
   startWaiting();
 }
 
@@ -247,14 +246,13 @@
   TimePoint SentAt = m_Timers.now();
   m_Metrics.observe(Timing::TaskWait, SentAt - Started.m_Job->m_PlacedAt);
   std::weak_ptr<bool> Alive = m_Alive;
-  m_Control.start(std::move(Order),
-                  [this, Alive, Name, Token, SentAt](const OrderReply &Reply) {
-                    if (Alive.expired())
-                      return;
-                    m_Metrics.observe(Timing::StartOrder,
-                                      m_Timers.now() - SentAt);
-                    receiveStarted(Name, Token, Reply);
-                  });
+  m_Control.start(std::move(Order), [this, Alive, Name, Token,
+                                     SentAt](const OrderReply &Reply) {
+    if (Alive.expired())
+      return;
+    m_Metrics.observe(Timing::StartOrder, m_Timers.now() - SentAt);
+    receiveStarted(Name, Token, Reply);
+  });
 }
 
 void BackendSession::receiveStarted(const RunName &Name, std::uint64_t Token,
@@ -339,8 +337,8 @@
   for (const RunPointer &Known : m_Ledger.all()) {
     if (Known->m_State != RunState::Running)
       continue;
-    double Seen = ratio(m_Timers.now() - Known->m_StartedAt,
-                        Known->m_Job->m_Expected);
+    double Seen =
+        ratio(m_Timers.now() - Known->m_StartedAt, Known->m_Job->m_Expected);
     if (Seen < OverdueRatio * m_Slowness)
       continue;
     Sum += Seen;
@@ -349,9 +347,7 @@
   return Sum / Count;
 }
 
-bool BackendSession::hasOverdue() const {
-  return slowness() > m_Slowness;
-}
+bool BackendSession::hasOverdue() const { return slowness() > m_Slowness; }
 
 void BackendSession::hold(bool IsFence) {
   if (isGone())
@@ -401,8 +397,8 @@
   fire(m_Strangers.empty() ? SessionEvent::Empty : SessionEvent::Occupied);
   bool IsLooking = m_Context.m_State == SessionState::Looking;
   if (IsLooking)
-    m_LookTimer = m_Timers.subscribe(m_Settings.m_LookPause,
-                                     [this] { hold(true); });
+    m_LookTimer =
+        m_Timers.subscribe(m_Settings.m_LookPause, [this] { hold(true); });
   else if (WasLooking || !IsFence)
     hold(false);
   startWaiting();
@@ -480,12 +476,12 @@
     if (!isStalled(*Known))
       continue;
     Any = true;
-    logEvent(LogLevel::Warning, "run.stalled",
-             {{"task", Known->m_Name.m_Task},
-              {"run", Known->m_Name.m_Run},
-              {"progress_percent", Known->m_ProgressPercent},
-              {"still_ms",
-               toMilliseconds(Known->m_ProgressAt - Known->m_GrewAt)}});
+    logEvent(
+        LogLevel::Warning, "run.stalled",
+        {{"task", Known->m_Name.m_Task},
+         {"run", Known->m_Name.m_Run},
+         {"progress_percent", Known->m_ProgressPercent},
+         {"still_ms", toMilliseconds(Known->m_ProgressAt - Known->m_GrewAt)}});
     fireRun(Known, RunEvent::Stop);
   }
   if (!Any)
@@ -500,8 +496,8 @@
   if (Known.m_IsHopeless || Elapsed < ProgressFrom)
     return;
   // Progress is rounded down, so the run may be a step further.
-  Duration Left = Elapsed * WholePercent / (Known.m_ProgressPercent + 1) -
-                  Elapsed;
+  Duration Left =
+      Elapsed * WholePercent / (Known.m_ProgressPercent + 1) - Elapsed;
   Duration Remaining = Known.m_Job->m_DeadlineAt - m_Timers.now();
   if (Left <= Remaining)
     return;
--- a/packages/worker/internal/run.h
+++ b/packages/worker/internal/run.h
@@ -82,8 +82,7 @@
 
 /// Whether the run may occupy room at the backend server.
 inline bool holdsRoom(const Run &Known) {
-  return Known.m_State != RunState::Waiting &&
-         Known.m_State != RunState::Ended;
+  return Known.m_State != RunState::Waiting && Known.m_State != RunState::Ended;
 }
 
 } // namespace cyclamenwalk
--- a/packages/worker/internal/runledger.cpp
+++ b/packages/worker/internal/runledger.cpp
@@ -73,8 +73,8 @@
   for (const auto &Known : m_Queue) {
     const PlacedJob &Job = *Known.second->m_Job;
     Duration Within = Job.m_OrderKey - Now;
-    bool IsSameStep = !Steps.empty() &&
-                      Within - Steps.back().m_OrderWithin < WaitingStep;
+    bool IsSameStep =
+        !Steps.empty() && Within - Steps.back().m_OrderWithin < WaitingStep;
     if (IsSameStep)
       Steps.back().m_MilliCores += Job.m_Need.m_MilliCores;
     else
@@ -96,9 +96,9 @@
     if (Held.m_StartedAt != TimePoint{})
       Elapsed = static_cast<double>((Now - Held.m_StartedAt).count());
     if (Held.m_ProgressPercent >= TrustedProgress)
-      Expected = static_cast<double>(
-                     (Held.m_ProgressAt - Held.m_StartedAt).count()) *
-                 WholePercent / Held.m_ProgressPercent;
+      Expected =
+          static_cast<double>((Held.m_ProgressAt - Held.m_StartedAt).count()) *
+          WholePercent / Held.m_ProgressPercent;
     double Share = static_cast<double>(Held.m_Job->m_Need.m_MilliCores);
     Weighted += Share * std::max(Expected - Elapsed, OverdueShare * Expected);
     Cores += Share;
--- a/packages/worker/internal/workerservice.cpp
+++ b/packages/worker/internal/workerservice.cpp
@@ -22,7 +22,8 @@
                     Told.m_Waiting.size() != Now.m_Waiting.size();
   if (HasFlipped)
     return true;
-  std::int64_t Capacity = std::max<std::int64_t>(1, Now.m_Capacity.m_MilliCores);
+  std::int64_t Capacity =
+      std::max<std::int64_t>(1, Now.m_Capacity.m_MilliCores);
   std::int64_t Free = Now.m_Free.m_MilliCores * WholePercent / Capacity;
   std::int64_t Before = Told.m_Free.m_MilliCores * WholePercent / Capacity;
   std::int64_t Limit =
@@ -171,17 +172,17 @@
     return;
   bool HasStarted = Ended.m_StartedAt != TimePoint{};
   TimePoint StartedAt = HasStarted ? Ended.m_StartedAt : m_Timers.now();
-  Owner->second.m_Ends.push_back(
-      {Ended.m_Job->m_Job, Ended.m_Task.m_Index, Ended.m_Task.m_Run,
-       Ended.m_How, m_Timers.now() - StartedAt,
-       Ended.m_Job->m_StartBy - StartedAt});
+  Owner->second.m_Ends.push_back({Ended.m_Job->m_Job, Ended.m_Task.m_Index,
+                                  Ended.m_Task.m_Run, Ended.m_How,
+                                  m_Timers.now() - StartedAt,
+                                  Ended.m_Job->m_StartBy - StartedAt});
   scheduleFlush(Duration::zero());
 }
 
 void WorkerService::noteHopeless(const Run &Late) {
-  m_Needs.m_Links.send(Late.m_Job->m_Entry,
-                       TaskHopeless{Late.m_Job->m_Job, Late.m_Task.m_Index,
-                                    Late.m_Task.m_Run});
+  m_Needs.m_Links.send(
+      Late.m_Job->m_Entry,
+      TaskHopeless{Late.m_Job->m_Job, Late.m_Task.m_Index, Late.m_Task.m_Run});
 }
 
 void WorkerService::noteChange() {
--- a/packages/worker/workermodule.h
+++ b/packages/worker/workermodule.h
@@ -4,8 +4,8 @@
 #include "core/imetrics.h"
 #include "core/itimerservice.h"
 #include "membership/ilinks.h"
-#include "statechart/ichartsource.h"
 #include "policy/types/failuretest.h"
+#include "statechart/ichartsource.h"
 #include "worker/ibackendcontrol.h"
 #include "worker/iworkerservice.h"
 
