--- a/packages/cli/internal/cliprogram.cpp
+++ b/packages/cli/internal/cliprogram.cpp
@@ -61,6 +61,7 @@
   AgentSettings Settings = readAgentSettings(File);
   startLogging(Settings.m_Process.m_Name, Settings.m_Process.m_LogLevel);
   AgentProgram(Settings).run();
+  stopLogging();
   return ExitStatus::Ok;
 }
 
--- a/packages/cli/internal/localcommands.cpp
+++ b/packages/cli/internal/localcommands.cpp
@@ -22,6 +22,7 @@
       readEntrySettings(Options["settings"].as<std::string>());
   startLogging(Settings.m_Process.m_Name, Settings.m_Process.m_LogLevel);
   EntryProgram(Settings).run();
+  stopLogging();
   return ExitStatus::Ok;
 }
 
--- a/packages/core/internal/log.cpp
+++ b/packages/core/internal/log.cpp
@@ -1,5 +1,10 @@
 #include "core/log.h"
 
+#include "core/internal/loglimit.h"
+
+#include <csignal>
+#include <spdlog/async.h>
+#include <spdlog/sinks/null_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -7,6 +12,17 @@
 
 namespace {
 
+/// Lines that wait to be written; beyond, the oldest are dropped, so that a
+/// slow reader never holds a thread up.
+constexpr std::size_t WaitingLines = 8192;
+/// Lines of one event a second.
+constexpr std::uint32_t LinesPerSecond = 250;
+
+LogLimit &logLimit() {
+  static LogLimit Limit(LinesPerSecond);
+  return Limit;
+}
+
 spdlog::level::level_enum toSpdlog(LogLevel Level) {
   switch (Level) {
   case LogLevel::Debug:
@@ -39,8 +55,24 @@
 
 } // namespace
 
+namespace {
+
+/// The writing thread inherits blocked signals, which others wait for.
+void startWriter() {
+  sigset_t All;
+  sigset_t Before;
+  sigfillset(&All);
+  pthread_sigmask(SIG_BLOCK, &All, &Before);
+  spdlog::init_thread_pool(WaitingLines, 1);
+  pthread_sigmask(SIG_SETMASK, &Before, nullptr);
+}
+
+} // namespace
+
 void startLogging(const std::string &Process, LogLevel Lowest) {
-  auto Logger = spdlog::stderr_logger_mt(Process);
+  startWriter();
+  auto Logger =
+      spdlog::create_async_nb<spdlog::sinks::stdout_sink_mt>(Process);
   Logger->set_level(toSpdlog(Lowest));
   Logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ level=%l process=%n %v",
                       spdlog::pattern_time_type::utc);
@@ -48,6 +80,13 @@
   spdlog::set_default_logger(std::move(Logger));
 }
 
+void stopLogging() {
+  if (auto Pool = spdlog::thread_pool())
+    logEvent(LogLevel::Info, "log.ended",
+             {{"dropped", Pool->overrun_counter()}});
+  spdlog::set_default_logger(spdlog::null_logger_mt("ended"));
+}
+
 std::string formatEvent(std::string_view Event,
                         std::initializer_list<LogField> Fields) {
   std::string Line = "event=";
@@ -69,7 +108,14 @@
   auto SpdlogLevel = toSpdlog(Level);
   if (!spdlog::should_log(SpdlogLevel))
     return;
-  spdlog::log(SpdlogLevel, "{}", formatEvent(Event, Fields));
+  std::uint64_t LeftOut = 0;
+  bool IsAdmitted = logLimit().admit(Event, Clock::now(), LeftOut);
+  if (LeftOut > 0)
+    spdlog::log(
+        spdlog::level::warn, "{}",
+        formatEvent("log.limited", {{"of", Event}, {"left_out", LeftOut}}));
+  if (IsAdmitted)
+    spdlog::log(SpdlogLevel, "{}", formatEvent(Event, Fields));
 }
 
 } // namespace cyclamenwalk
--- a/packages/core/log.h
+++ b/packages/core/log.h
@@ -26,12 +26,17 @@
   std::string m_Value;
 };
 
-/// Sends log lines to standard error from \p Lowest on, each with the name of
-/// the process.
+/// Sends log lines to standard output from \p Lowest on, each with the name of
+/// the process, from a thread of its own. Writing one never blocks: lines that
+/// a slow reader holds up are dropped and counted.
 void startLogging(const std::string &Process, LogLevel Lowest);
 
+/// Writes what waits and ends the thread. No line is written afterwards.
+void stopLogging();
+
 /// Writes one line of key=value pairs for \p Event. Values with spaces or
-/// quotes are quoted.
+/// quotes are quoted. Lines of one event are bounded to a number a second; how
+/// many were left out is written later.
 void logEvent(LogLevel Level, std::string_view Event,
               std::initializer_list<LogField> Fields = {});
 
--- a/packages/core/tests/core_test.cpp
+++ b/packages/core/tests/core_test.cpp
@@ -1,3 +1,4 @@
+#include "core/internal/loglimit.h"
 #include "core/log.h"
 #include "core/tests/mocks/manualtimerservice.h"
 #include "core/types/ids.h"
@@ -8,6 +9,19 @@
 
 using namespace cyclamenwalk;
 
+TEST(LogLimitTest, BoundsEachEventAndCountsTheRest) {
+  LogLimit Limit(2);
+  TimePoint Now{seconds(1)};
+  std::uint64_t LeftOut = 0;
+  EXPECT_TRUE(Limit.admit("a", Now, LeftOut));
+  EXPECT_TRUE(Limit.admit("a", Now, LeftOut));
+  EXPECT_FALSE(Limit.admit("a", Now, LeftOut));
+  EXPECT_TRUE(Limit.admit("b", Now, LeftOut));
+  EXPECT_EQ(LeftOut, 0u);
+  EXPECT_TRUE(Limit.admit("a", Now + seconds(1), LeftOut));
+  EXPECT_EQ(LeftOut, 1u);
+}
+
 TEST(Ids, textFormsRoundTrip) {
   JobId Job{Incarnation{0xabcdef}, 42};
   EXPECT_EQ(parseJobId(toString(Job)), Job);
