--- a/packages/worker/internal/backendsession.cpp
+++ b/packages/worker/internal/backendsession.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-/// Unanswered holds after which the lease is no longer renewed, so that runs
-/// are known to be over a lease later.
-constexpr std::uint32_t MaxUnansweredRenewals = 2;
 /// A run that was asked to stop is asked again after this time.
 constexpr Duration StopRepeat = milliseconds(100);
 /// Weight of one run time in the running mean.
@@ -85,25 +82,27 @@
 BackendSession::BackendSession(BackendAnnouncement Said,
                                WorkerSettings Settings,
                                const WorkerDependencies &Needs, Hooks Calls)
-    : m_Said(std::move(Said)), m_Settings(Settings), m_Control(Needs.m_Control),
-      m_Timers(Needs.m_Timers), m_Metrics(Needs.m_Metrics),
-      m_Hooks(std::move(Calls)), m_Chart(bindSession(Needs.m_Charts)),
+    : m_Said(std::move(Said)), m_Settings(Settings), m_Timers(Needs.m_Timers),
+      m_Metrics(Needs.m_Metrics), m_Hooks(std::move(Calls)),
+      m_Chart(bindSession(Needs.m_Charts)),
       m_RunChart(bindRun(Needs.m_Charts)), m_Ledger(m_Said.m_Capacity),
       m_Condition(m_Said.m_Instance, Needs.m_FailureTest(), Needs.m_Charts,
                   m_Timers, [this] { startWaiting(); }),
-      m_Token(Needs.m_FirstToken()), m_LeaseSentAt(m_Timers.now()) {
+      m_Server(m_Said.m_Address, m_Said.m_Instance, Settings, Needs,
+               {[this](const ListsReceived &Lists) { takeLists(Lists); },
+                [this](const std::string &Reason) { lose(Reason); },
+                [this] { return m_Ledger.occupied() > 0; }}) {
   m_Context.m_State = m_Chart.initial();
   logEvent(LogLevel::Info, "backend.found",
            {{"instance", m_Said.m_Instance},
             {"service", m_Said.m_Service},
             {"millicores", m_Said.m_Capacity.m_MilliCores},
             {"memory_mb", m_Said.m_Capacity.m_MemoryMb},
-            {"token", m_Token}});
-  hold(true);
+            {"token", m_Server.token()}});
+  m_Server.look();
 }
 
 BackendSession::~BackendSession() {
-  m_Timers.cancel(m_LookTimer);
   for (const RunPointer &Known : m_Ledger.all())
     m_Timers.cancel(Known->m_ExpiryTimer);
 }
@@ -111,7 +110,7 @@
 BackendSession::SessionChart
 BackendSession::bindSession(const IChartSource &Charts) {
   return SessionChart(Charts.chart("session"), {},
-                      {{"serve", [this](Context &) { startWaiting(); }},
+                      {{"serve", [this](Context &) { m_Server.keepLease(); }},
                        {"endStrangers", [this](Context &) { endStrangers(); }},
                        {"dropWaiting", [this](Context &) { dropWaiting(); }},
                        {"loseRuns", [this](Context &) { loseRuns(); }}});
@@ -123,7 +122,7 @@
       {{"sendStart", [this](Run &R) { sendStart(R); }},
        {"sendStop", [this](Run &R) { sendStop(R); }},
        {"queueAgain", [this](Run &R) { queueAgain(R); }},
-       {"fence", [this](Run &R) { fence(R); }},
+       {"fence", [this](Run &R) { m_Server.fence(R.m_OrderToken); }},
        {"report", [this](Run &R) { finish(R, R.m_How); }},
        {"reportNotStarted", [this](Run &R) { finish(R, RunEnd::NotStarted); }},
        {"reportTooLow", [this](Run &R) { finish(R, RunEnd::RunTooLow); }},
@@ -140,7 +139,7 @@
            {{"instance", m_Said.m_Instance},
             {"state", std::string(ChartNames<SessionState>::Values[State])},
             {"runs", m_Ledger.size()},
-            {"token", m_Token}});
+            {"token", m_Server.token()}});
   m_Hooks.m_Changed();
 }
 
@@ -184,6 +183,7 @@
 }
 
 void BackendSession::loseRuns() {
+  m_Server.close();
   for (const RunPointer &Known : m_Ledger.all())
     fireRun(Known, RunEvent::Lost);
 }
@@ -238,26 +238,21 @@
 
 void BackendSession::sendStart(Run &Started) {
   m_Metrics.count(Metric::StartsExecuted);
-  Started.m_OrderToken = m_Token;
-  StartOrder Order{target(), Started.m_Name, Started.m_Job->m_Spec,
-                   leaseUntil()};
+  std::uint64_t Token = m_Server.token();
+  Started.m_OrderToken = Token;
   RunName Name = Started.m_Name;
-  std::uint64_t Token = m_Token;
   TimePoint SentAt = m_Timers.now();
   m_Metrics.observe(Timing::TaskWait, SentAt - Started.m_Job->m_PlacedAt);
-  std::weak_ptr<bool> Alive = m_Alive;
-  m_Control.start(std::move(Order), [this, Alive, Name, Token,
-                                     SentAt](const OrderReply &Reply) {
-    if (Alive.expired())
-      return;
-    m_Metrics.observe(Timing::StartOrder, m_Timers.now() - SentAt);
-    receiveStarted(Name, Token, Reply);
-  });
+  m_Server.start(Name, Started.m_Job->m_Spec,
+                 [this, Name, Token, SentAt](const OrderReply &Reply) {
+                   m_Metrics.observe(Timing::StartOrder,
+                                     m_Timers.now() - SentAt);
+                   receiveStarted(Name, Token, Reply);
+                 });
 }
 
 void BackendSession::receiveStarted(const RunName &Name, std::uint64_t Token,
                                     const OrderReply &Reply) {
-  noteClock(Reply.m_Clock);
   RunPointer Known = m_Ledger.find(Name);
   bool IsCurrent = Known && Known->m_OrderToken == Token;
   if (Reply.m_Outcome != OrderOutcome::Done)
@@ -283,13 +278,7 @@
   if (IsRecent)
     return;
   Stopped.m_StopSentAt = Now;
-  std::weak_ptr<bool> Alive = m_Alive;
-  // The list of ends tells when it has stopped; a lost order is repeated.
-  m_Control.stop({target(), Stopped.m_Name},
-                 [this, Alive](const OrderReply &Reply) {
-                   if (!Alive.expired())
-                     noteClock(Reply.m_Clock);
-                 });
+  m_Server.stop(Stopped.m_Name);
 }
 
 void BackendSession::queueAgain(Run &Waiting) {
@@ -349,85 +338,13 @@
 
 bool BackendSession::hasOverdue() const { return slowness() > m_Slowness; }
 
-void BackendSession::hold(bool IsFence) {
-  if (isGone())
-    return;
-  bool RenewsLease = m_Context.m_State != SessionState::Looking &&
-                     m_Unanswered < MaxUnansweredRenewals;
-  HoldOrder Order;
-  Order.m_To = target();
-  Order.m_LastEnd = m_LastEnd;
-  if (RenewsLease)
-    Order.m_LeaseUntil = leaseUntil();
-  bool IsIdle = m_Ledger.occupied() == 0;
-  if (!IsFence)
-    Order.m_Wait = IsIdle ? m_Settings.m_HoldWait : m_Settings.m_BusyHoldWait;
-  if (IsFence)
-    m_FencePending = m_Token;
-  TimePoint SentAt = m_Timers.now();
-  std::weak_ptr<bool> Alive = m_Alive;
-  m_Control.hold(Order,
-                 [this, Alive, Order, SentAt, IsFence](const HoldReply &Reply) {
-                   if (!Alive.expired())
-                     receiveHold(Order, SentAt, IsFence, Reply);
-                 });
-}
-
-void BackendSession::receiveHold(const HoldOrder &Sent, TimePoint SentAt,
-                                 bool IsFence, const HoldReply &Reply) {
-  if (isGone())
-    return;
-  if (Reply.m_Outcome != OrderOutcome::Done) {
-    receiveNoHold(IsFence, Reply);
-    return;
-  }
-  m_Unanswered = 0;
-  noteClock(Reply.m_Clock);
+void BackendSession::takeLists(const ListsReceived &Lists) {
+  const HoldReply &Reply = Lists.m_Reply;
   bool IsReborn = Reply.m_BornAt != Duration::zero() &&
                   m_Said.m_BornAt != Duration::zero() &&
                   Reply.m_BornAt != m_Said.m_BornAt;
-  if (IsReborn) {
-    lose("another life with the same name answers");
-    return;
-  }
-  takeLists(Sent, SentAt, IsFence, Reply);
-  if (isGone())
-    return;
-  bool WasLooking = m_Context.m_State == SessionState::Looking;
-  fire(m_Strangers.empty() ? SessionEvent::Empty : SessionEvent::Occupied);
-  bool IsLooking = m_Context.m_State == SessionState::Looking;
-  if (IsLooking)
-    m_LookTimer =
-        m_Timers.subscribe(m_Settings.m_LookPause, [this] { hold(true); });
-  else if (WasLooking || !IsFence)
-    hold(false);
-  startWaiting();
-}
-
-void BackendSession::receiveNoHold(bool IsFence, const HoldReply &Reply) {
-  ++m_Unanswered;
-  logEvent(LogLevel::Warning, "backend.hold_failed",
-           {{"instance", m_Said.m_Instance},
-            {"outcome", static_cast<int>(Reply.m_Outcome)},
-            {"failures", m_Unanswered},
-            {"token", m_Token}});
-  if (Reply.m_Outcome == OrderOutcome::Unreachable)
-    return lose("nothing listens at its address");
-  if (Reply.m_Outcome == OrderOutcome::WrongInstance)
-    return lose("another life answers");
-  Duration OverAfter = m_Settings.m_Lease + m_Settings.m_LeaseSlack;
-  if (m_Timers.now() - m_LeaseSentAt > OverAfter)
-    return lose("its lease is over without an answer");
-  if (Reply.m_Outcome == OrderOutcome::Fenced) {
-    m_Token += m_TokenJump;
-    m_TokenJump *= 2;
-  }
-  m_LookTimer = m_Timers.subscribe(m_Settings.m_LookPause,
-                                   [this, IsFence] { hold(IsFence); });
-}
-
-void BackendSession::takeLists(const HoldOrder &Sent, TimePoint SentAt,
-                               bool IsFence, const HoldReply &Reply) {
+  if (IsReborn)
+    return lose("another life with the same name answers");
   takeEnds(Reply);
   takeProgress(Reply);
   std::set<RunName> Listed;
@@ -440,7 +357,11 @@
     else
       m_Strangers.push_back(Name);
   }
-  takeMissing(Sent, SentAt, IsFence, Listed);
+  takeMissing(Lists, Listed);
+  fire(m_Strangers.empty() ? SessionEvent::Empty : SessionEvent::Occupied);
+  if (m_Context.m_State == SessionState::Looking)
+    m_Server.look(m_Settings.m_LookPause);
+  startWaiting();
 }
 
 void BackendSession::takeProgress(const HoldReply &Reply) {
@@ -514,9 +435,9 @@
 
 void BackendSession::takeEnds(const HoldReply &Reply) {
   for (const ListedEnd &End : Reply.m_Ended) {
-    if (End.m_Number <= m_LastEnd)
+    if (End.m_Number <= m_Server.lastEnd())
       continue;
-    m_LastEnd = End.m_Number;
+    m_Server.noteEnd(End.m_Number);
     RunPointer Known = m_Ledger.find(End.m_Run);
     if (!Known)
       continue;
@@ -526,60 +447,29 @@
 }
 
 /// Draws conclusions from runs that a reply does not list.
-void BackendSession::takeMissing(const HoldOrder &Sent, TimePoint SentAt,
-                                 bool IsFence,
+void BackendSession::takeMissing(const ListsReceived &Lists,
                                  const std::set<RunName> &Listed) {
-  if (IsFence && m_FencePending <= Sent.m_To.m_FencingToken)
-    m_FencePending = 0;
   for (const RunPointer &Known : m_Ledger.all()) {
     if (!holdsRoom(*Known) || Listed.count(Known->m_Name))
       continue;
-    bool HadStarted =
-        Known->m_StartedAt != TimePoint{} && Known->m_StartedAt < SentAt;
+    bool HadStarted = Known->m_StartedAt != TimePoint{} &&
+                      Known->m_StartedAt < Lists.m_SentAt;
     bool IsFenced = Known->m_State != RunState::Starting &&
-                    Known->m_OrderToken < Sent.m_To.m_FencingToken;
+                    Known->m_OrderToken < Lists.m_Token;
     if (HadStarted || IsFenced)
       fireRun(Known, RunEvent::Missing);
   }
 }
 
-void BackendSession::fence(const Run &Doubtful) {
-  if (m_FencePending > Doubtful.m_OrderToken)
-    return;
-  ++m_Token;
-  logEvent(LogLevel::Info, "backend.fenced",
-           {{"task", Doubtful.m_Name.m_Task},
-            {"order_token", Doubtful.m_OrderToken},
-            {"token", m_Token}});
-  hold(true);
-}
-
 /// Stops runs that an earlier agent started.
 void BackendSession::endStrangers() {
   for (const RunName &Name : m_Strangers) {
     logEvent(LogLevel::Info, "run.stranger",
              {{"task", Name.m_Task}, {"run", Name.m_Run}});
-    m_Control.stop({target(), Name}, [](const OrderReply &) {});
+    m_Server.stop(Name);
   }
 }
 
-OrderTarget BackendSession::target() const {
-  return {m_Said.m_Address, m_Said.m_Instance, m_Token};
-}
-
-void BackendSession::noteClock(Duration ServerClock) {
-  if (ServerClock == Duration::zero())
-    return;
-  m_ServerClock = ServerClock;
-  m_ServerClockAt = m_Timers.now();
-}
-
-Duration BackendSession::leaseUntil() {
-  m_LeaseSentAt = m_Timers.now();
-  return m_ServerClock + (m_Timers.now() - m_ServerClockAt) +
-         m_Settings.m_Lease;
-}
-
 WorkerReport BackendSession::report() const {
   WorkerReport Report;
   Report.m_Service = m_Said.m_Service;
--- a/packages/worker/internal/backendsession.h
+++ b/packages/worker/internal/backendsession.h
@@ -3,7 +3,7 @@
 
 #include "worker/internal/backendcondition.h"
 #include "worker/internal/runledger.h"
-#include "worker/workermodule.h"
+#include "worker/internal/serverlink.h"
 
 #include <set>
 
@@ -21,8 +21,7 @@
                                                           "leave", "lost"};
 };
 
-/// The control of one life of the backend server: its lease, its fencing
-/// token, and what runs and waits there.
+/// One life of the backend server: what runs and waits there.
 class BackendSession {
 public:
   struct Hooks {
@@ -84,31 +83,20 @@
   void finish(Run &Ended, RunEnd How);
   void expire(const RunName &Name);
 
-  void hold(bool IsFence);
-  void receiveHold(const HoldOrder &Sent, TimePoint SentAt, bool IsFence,
-                   const HoldReply &Reply);
-  void receiveNoHold(bool IsFence, const HoldReply &Reply);
-  void takeLists(const HoldOrder &Sent, TimePoint SentAt, bool IsFence,
-                 const HoldReply &Reply);
+  void takeLists(const ListsReceived &Lists);
   void takeProgress(const HoldReply &Reply);
   void checkHopeless(Run &Known);
   bool isStalled(const Run &Known) const;
   void stopStalled();
   void takeEnds(const HoldReply &Reply);
-  void takeMissing(const HoldOrder &Sent, TimePoint SentAt, bool IsFence,
+  void takeMissing(const ListsReceived &Lists,
                    const std::set<RunName> &Listed);
-  void fence(const Run &Doubtful);
   void judge(const Run &Ended, RunEnd How);
   void learnSlowness(const Run &Ended, Duration RunTime);
   double slowness() const;
 
-  OrderTarget target() const;
-  void noteClock(Duration ServerClock);
-  Duration leaseUntil();
-
   BackendAnnouncement m_Said;
   const WorkerSettings m_Settings;
-  IBackendControl &m_Control;
   ITimerService &m_Timers;
   IMetrics &m_Metrics;
   const Hooks m_Hooks;
@@ -117,24 +105,12 @@
   Context m_Context;
   RunLedger m_Ledger;
   BackendCondition m_Condition;
+  ServerLink m_Server;
   /// The jobs of which a run has failed here, each judged once.
   std::set<JobId> m_FailedJobs;
-  std::uint64_t m_Token = 0;
-  std::uint64_t m_TokenJump = 1;
-  /// The token that a hold under way is to confirm; zero for none.
-  std::uint64_t m_FencePending = 0;
-  std::uint64_t m_LastEnd = 0;
-  /// The server's clock at an instant of ours.
-  Duration m_ServerClock{};
-  TimePoint m_ServerClockAt;
-  /// When the last order that renews the lease was sent.
-  TimePoint m_LeaseSentAt;
-  std::uint32_t m_Unanswered = 0;
   std::vector<RunName> m_Strangers;
-  TimerId m_LookTimer = 0;
   /// Running mean of run times against their estimates.
   double m_Slowness = 1;
-  std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
 };
 
 } // namespace cyclamenwalk
