--- a/packages/batch/internal/batchjob.h
+++ b/packages/batch/internal/batchjob.h
@@ -69,6 +69,8 @@
   BatchSpec m_Spec;
   std::vector<BatchTask> m_Tasks;
   std::uint32_t m_Succeeded = 0;
+  /// Times that tasks of it were placed.
+  std::uint32_t m_Placements = 0;
   /// Whether a task is known to have begun.
   bool m_HasRun = false;
   TimePoint m_SubmittedAt;
--- a/packages/batch/internal/batchservice.cpp
+++ b/packages/batch/internal/batchservice.cpp
@@ -13,6 +13,8 @@
 constexpr std::uint32_t RunJump = 1000;
 constexpr Duration LeastRetryAfter = seconds(1);
 constexpr double Percent = 100;
+/// Placements of a job that agents may send back.
+constexpr std::uint32_t MaxSentBack = 3;
 /// Part of the expected run time below which hardly any task ends.
 constexpr double LeastRunPart = 0.4;
 
@@ -55,7 +57,7 @@
     : m_Own(Own), m_Settings(Settings), m_Hooks(std::move(Hooks)),
       m_Links(Needs.m_Links), m_Timers(Needs.m_Timers),
       m_Metrics(Needs.m_Metrics), m_TaskChart(bindTask(Needs.m_Charts)),
-      m_JobChart(bindJob(Needs.m_Charts)), m_Workers(m_Timers),
+      m_JobChart(bindJob(Needs.m_Charts)), m_Workers(Own, m_Timers),
       m_SlackControl(m_Hooks.m_SlackControl()) {}
 
 BatchService::~BatchService() {
@@ -224,6 +226,7 @@
 
 void BatchService::sendPlan(BatchJob &Owner, const PlacementJob &Wanted,
                             const PlacementPlan &Plan) {
+  ++Owner.m_Placements;
   std::map<Incarnation, std::vector<BatchTask *>> ByAgent;
   auto Next = Plan.m_Agents.begin();
   for (BatchTask &Known : Owner.m_Tasks) {
@@ -232,11 +235,12 @@
     ByAgent[*Next++].push_back(&Known);
   }
   for (auto &Known : ByAgent)
-    sendTo(Known.first, Owner, Wanted, std::move(Known.second));
+    sendTo(Known.first, Owner, Wanted, Plan.m_LongestWait,
+           std::move(Known.second));
 }
 
 void BatchService::sendTo(Incarnation Agent, BatchJob &Owner,
-                          const PlacementJob &Wanted,
+                          const PlacementJob &Wanted, Duration Wait,
                           std::vector<BatchTask *> Chosen) {
   PlaceTasks Body;
   Body.m_Job = Owner.m_Id;
@@ -247,6 +251,9 @@
   Body.m_Expected = Owner.m_Spec.m_Estimated;
   Body.m_StartWithin = Wanted.m_StartWithin;
   Body.m_OrderWithin = Wanted.m_OrderWithin;
+  bool MayBeSentBack = Owner.m_Placements <= MaxSentBack;
+  Body.m_AcceptedWait = MayBeSentBack ? Wait + m_Settings.m_WaitTolerance
+                                      : Owner.m_Spec.m_Deadline;
   Body.m_Remaining = Owner.m_DeadlineAt - m_Timers.now();
   for (BatchTask *Known : Chosen) {
     m_TaskChart.fire(*Known, BatchTaskEvent::Place);
--- a/packages/batch/internal/workertable.cpp
+++ b/packages/batch/internal/workertable.cpp
@@ -11,6 +11,10 @@
 constexpr double LeastSlowness = 0.4;
 constexpr double GreatestSlowness = 10;
 constexpr double StrongDifference = 1.7;
+/// Sixteen steps, by the upper bits of a multiplicative hash.
+constexpr Duration BiasStep = microseconds(700);
+constexpr std::uint64_t HashFactor = 0x9e3779b97f4a7c15ULL;
+constexpr int HashShift = 60;
 
 } // namespace
 
@@ -54,6 +58,7 @@
   PlacementWorker View;
   View.m_Agent = Known.m_Peer.m_Incarnation;
   View.m_Rack = Report.m_Rack;
+  View.m_Bias = biasOf(View.m_Agent);
   View.m_Capacity = Report.m_Capacity;
   View.m_Free = Report.m_Free;
   // What one worker shows is mostly the error of estimates, so only a strong
@@ -124,6 +129,11 @@
   return Views;
 }
 
+Duration WorkerTable::biasOf(Incarnation Agent) const {
+  std::uint64_t Mixed = (Agent.m_Value ^ m_Own.m_Value) * HashFactor;
+  return BiasStep * static_cast<Duration::rep>(Mixed >> HashShift);
+}
+
 bool WorkerTable::hasAccepting() const {
   return std::any_of(m_Workers.begin(), m_Workers.end(), [](const auto &Known) {
     return Known.second.m_HasReport && Known.second.m_Report.m_IsAccepting;
--- a/packages/batch/internal/workertable.h
+++ b/packages/batch/internal/workertable.h
@@ -16,7 +16,8 @@
 /// there since the report was made.
 class WorkerTable {
 public:
-  explicit WorkerTable(ITimerService &Timers) : m_Timers(Timers) {}
+  WorkerTable(Incarnation Own, ITimerService &Timers)
+      : m_Own(Own), m_Timers(Timers) {}
 
   void add(const Peer &Agent);
   void remove(Incarnation Agent);
@@ -70,6 +71,9 @@
   bool isUsable(const Worker &Known, const std::string &Service) const;
   PlacementWorker view(const Worker &Known, const Speeds &Usual) const;
 
+  Duration biasOf(Incarnation Agent) const;
+
+  const Incarnation m_Own;
   ITimerService &m_Timers;
   std::unordered_map<Incarnation, Worker> m_Workers;
 };
--- a/packages/batch/types/batchspec.h
+++ b/packages/batch/types/batchspec.h
@@ -60,6 +60,8 @@
   Duration m_AnswerMargin = milliseconds(15);
   /// Part of the slack that is kept for messages and rounding.
   Duration m_SlackMargin = milliseconds(10);
+  /// How much longer than expected tasks may wait where they are placed.
+  Duration m_WaitTolerance = milliseconds(15);
   /// Factor on the run time away from the data.
   double m_RemotePenalty = 1;
 };
--- a/packages/message/types/placement.h
+++ b/packages/message/types/placement.h
@@ -64,8 +64,9 @@
   Duration m_OrderWithin{};
   /// Time left until the answer is of no use to the caller.
   Duration m_Remaining{};
-  /// Whether the tasks shall also start when the objective cannot be met.
-  bool m_MayStartLate = false;
+  /// Tasks that would wait for longer are sent back at once: another entry
+  /// has taken the room, and a third worker may have some.
+  Duration m_AcceptedWait{};
 };
 
 /// How a run of a task ended, or that it did not begin.
--- a/packages/policy/internal/placement.cpp
+++ b/packages/policy/internal/placement.cpp
@@ -76,6 +76,15 @@
 
 } // namespace
 
+Duration forecastRoom(const Room &Capacity, Duration MeanRemaining,
+                      std::int64_t MissingMilliCores) {
+  double Missing = std::max(0.0, static_cast<double>(MissingMilliCores));
+  double Whole = std::max(1.0, static_cast<double>(Capacity.m_MilliCores));
+  // Running tasks free their cores at an even pace over twice their mean
+  // remaining time.
+  return scaled(MeanRemaining * 2, Missing / Whole);
+}
+
 Duration forecastWait(const PlacementWorker &Worker, const PlacementJob &Job) {
   std::int64_t Ahead = 0;
   for (const WaitingWork &Waiting : Worker.m_Waiting)
@@ -83,15 +92,9 @@
       Ahead += Waiting.m_MilliCores;
   if (Ahead == 0 && Worker.m_Free.holds(Job.m_Need))
     return Duration::zero();
-  std::int64_t Capacity =
-      std::max<std::int64_t>(1, Worker.m_Capacity.m_MilliCores);
-  // Running tasks free their cores at an even pace over twice their mean
-  // remaining time.
   std::int64_t Free = std::max<std::int64_t>(0, Worker.m_Free.m_MilliCores);
-  std::int64_t Missing =
-      std::max<std::int64_t>(0, Ahead + Job.m_Need.m_MilliCores - Free);
-  return scaled(Worker.m_MeanRemaining * 2,
-                static_cast<double>(Missing) / static_cast<double>(Capacity));
+  return forecastRoom(Worker.m_Capacity, Worker.m_MeanRemaining,
+                      Ahead + Job.m_Need.m_MilliCores - Free);
 }
 
 void countTask(PlacementWorker &Worker, const PlacementJob &Job,
@@ -108,7 +111,8 @@
   return placeByScore(std::move(Workers), Job,
                       [&Job](const PlacementWorker &Known, Duration Wait) {
                         return scaled(Wait, WaitWeight) + runTime(Known, Job) +
-                               scaled(LoadTieBreak, usedShare(Known));
+                               scaled(LoadTieBreak, usedShare(Known)) +
+                               Known.m_Bias;
                       });
 }
 
--- a/packages/policy/types/placement.h
+++ b/packages/policy/types/placement.h
@@ -25,6 +25,9 @@
   /// Expected time until a running task ends.
   Duration m_MeanRemaining{};
   std::vector<WaitingWork> m_Waiting;
+  /// Set apart for each pair of entry and worker, so that entries which see
+  /// the same room do not all choose the same worker.
+  Duration m_Bias{};
 };
 
 /// The tasks of one job, which are alike.
@@ -54,6 +57,10 @@
 using Placement = std::function<PlacementPlan(std::vector<PlacementWorker>,
                                               const PlacementJob &)>;
 
+/// Expected wait for room of \p Missing cores (in thousandths) at a worker.
+Duration forecastRoom(const Room &Capacity, Duration MeanRemaining,
+                      std::int64_t MissingMilliCores);
+
 /// Expected wait of one more task at \p Worker behind what starts before it.
 Duration forecastWait(const PlacementWorker &Worker, const PlacementJob &Job);
 
--- a/packages/protocol/internal/fields.h
+++ b/packages/protocol/internal/fields.h
@@ -72,7 +72,7 @@
 template <typename Call> void fields(PlaceTasks &M, Call &&All) {
   All(M.m_Job, M.m_Name, M.m_Service, M.m_Spec, M.m_Need, M.m_Tasks,
       M.m_Expected, M.m_StartWithin, M.m_OrderWithin, M.m_Remaining,
-      M.m_MayStartLate);
+      M.m_AcceptedWait);
 }
 template <typename Call> void fields(TaskEnd &M, Call &&All) {
   All(M.m_Job, M.m_Index, M.m_Run, M.m_How, M.m_RunTime, M.m_StartMargin);
--- a/packages/worker/internal/backendsession.cpp
+++ b/packages/worker/internal/backendsession.cpp
@@ -84,8 +84,8 @@
                                const WorkerDependencies &Needs, Hooks Calls)
     : m_Said(std::move(Said)), m_Settings(Settings), m_Timers(Needs.m_Timers),
       m_Metrics(Needs.m_Metrics), m_Hooks(std::move(Calls)),
-      m_Chart(bindSession(Needs.m_Charts)),
-      m_RunChart(bindRun(Needs.m_Charts)), m_Ledger(m_Said.m_Capacity),
+      m_Chart(bindSession(Needs.m_Charts)), m_RunChart(bindRun(Needs.m_Charts)),
+      m_Ledger(m_Said.m_Capacity),
       m_Condition(m_Said.m_Instance, Needs.m_FailureTest(), Needs.m_Charts,
                   m_Timers, [this] { startWaiting(); }),
       m_Server(m_Said.m_Address, m_Said.m_Instance, Settings, Needs,
@@ -209,6 +209,10 @@
   startWaiting();
 }
 
+Duration BackendSession::forecastWait(const PlacedJob &Job) const {
+  return m_Ledger.forecastWait(Job, m_Timers.now(), slowness());
+}
+
 void BackendSession::expire(const RunName &Name) {
   if (RunPointer Known = m_Ledger.find(Name))
     fireRun(Known, RunEvent::Expire);
--- a/packages/worker/internal/backendsession.h
+++ b/packages/worker/internal/backendsession.h
@@ -50,6 +50,9 @@
 
   void place(const std::shared_ptr<const PlacedJob> &Job, PlacedTask Task);
 
+  /// Expected wait of one more run of \p Job.
+  Duration forecastWait(const PlacedJob &Job) const;
+
   /// Stops the runs for which \p IsMeant holds.
   void stopRuns(const std::function<bool(const Run &)> &IsMeant);
 
--- a/packages/worker/internal/runledger.cpp
+++ b/packages/worker/internal/runledger.cpp
@@ -1,5 +1,7 @@
 #include "worker/internal/runledger.h"
 
+#include "policy/types/placement.h"
+
 #include <algorithm>
 
 namespace cyclamenwalk {
@@ -68,6 +70,19 @@
   --m_Occupied;
 }
 
+Duration RunLedger::forecastWait(const PlacedJob &Job, TimePoint Now,
+                                 double Slowness) const {
+  std::int64_t Ahead = 0;
+  for (const auto &Known : m_Queue)
+    if (Known.first <= Job.m_OrderKey)
+      Ahead += Known.second->m_Job->m_Need.m_MilliCores;
+  if (Ahead == 0 && free().holds(Job.m_Need))
+    return Duration::zero();
+  std::int64_t Free = std::max<std::int64_t>(0, free().m_MilliCores);
+  return forecastRoom(m_Capacity, meanRemaining(Now, Slowness),
+                      Ahead + Job.m_Need.m_MilliCores - Free);
+}
+
 std::vector<WaitingWork> RunLedger::waiting(TimePoint Now) const {
   std::vector<WaitingWork> Steps;
   for (const auto &Known : m_Queue) {
--- a/packages/worker/internal/runledger.h
+++ b/packages/worker/internal/runledger.h
@@ -40,6 +40,10 @@
   void occupy(const Run &Started);
   void release(const Run &Ended);
 
+  /// Expected wait of one more run of \p Job.
+  Duration forecastWait(const PlacedJob &Job, TimePoint Now,
+                        double Slowness) const;
+
   /// What waits, in order.
   std::vector<WaitingWork> waiting(TimePoint Now) const;
 
--- a/packages/worker/internal/workerservice.cpp
+++ b/packages/worker/internal/workerservice.cpp
@@ -133,11 +133,11 @@
   bool IsTaken = Serving && Serving->isServing() && !m_IsDraining &&
                  Serving->said().m_Service == Body.m_Service;
   if (!IsTaken)
-    return refuse(Entry, Body);
+    return refuse(Entry, Body, Body.m_Tasks);
   auto Job = std::make_shared<PlacedJob>();
   Job->m_Job = Body.m_Job;
   Job->m_Entry = Entry;
-  Job->m_Name = std::move(Body.m_Name);
+  Job->m_Name = Body.m_Name;
   Job->m_Spec = std::move(Body.m_Spec);
   Job->m_Need = Body.m_Need;
   Job->m_Expected = Body.m_Expected;
@@ -145,16 +145,26 @@
   Job->m_DeadlineAt = m_Timers.now() + Body.m_Remaining;
   Job->m_StartBy = m_Timers.now() + Body.m_StartWithin;
   Job->m_OrderKey = m_Timers.now() + Body.m_OrderWithin;
-  for (const PlacedTask &Task : Body.m_Tasks)
-    Serving->place(Job, Task);
+  std::vector<PlacedTask> SentBack;
+  for (const PlacedTask &Task : Body.m_Tasks) {
+    if (Serving->forecastWait(*Job) > Body.m_AcceptedWait)
+      SentBack.push_back(Task);
+    else
+      Serving->place(Job, Task);
+  }
+  if (!SentBack.empty())
+    refuse(Entry, Body, SentBack);
 }
 
-void WorkerService::refuse(Incarnation Entry, const PlaceTasks &Body) {
+void WorkerService::refuse(Incarnation Entry, const PlaceTasks &Body,
+                           const std::vector<PlacedTask> &Tasks) {
   logEvent(LogLevel::Info, "placement.refused",
            {{"job", Body.m_Name},
             {"service", Body.m_Service},
+            {"tasks", Tasks.size()},
+            {"accepted_wait_ms", toMilliseconds(Body.m_AcceptedWait)},
             {"draining", m_IsDraining ? "yes" : "no"}});
-  for (const PlacedTask &Task : Body.m_Tasks)
+  for (const PlacedTask &Task : Tasks)
     m_Entries[Entry].m_Ends.push_back(
         {Body.m_Job, Task.m_Index, Task.m_Run, RunEnd::NotStarted, {}, {}});
   scheduleFlush(Duration::zero());
--- a/packages/worker/internal/workerservice.h
+++ b/packages/worker/internal/workerservice.h
@@ -38,7 +38,8 @@
   void openSession(const BackendAnnouncement &Said);
   void dropGone();
   void receivePlacement(Incarnation Entry, PlaceTasks &Body);
-  void refuse(Incarnation Entry, const PlaceTasks &Body);
+  void refuse(Incarnation Entry, const PlaceTasks &Body,
+              const std::vector<PlacedTask> &Tasks);
   void stopJob(JobId Job);
   void noteEnd(const Run &Ended);
   void noteChange();
--- a/packages/worker/tests/workerservice_test.cpp
+++ b/packages/worker/tests/workerservice_test.cpp
@@ -55,6 +55,7 @@
     Body.m_StartWithin = milliseconds(100);
     Body.m_OrderWithin = milliseconds(100);
     Body.m_Remaining = seconds(2);
+    Body.m_AcceptedWait = seconds(2);
     for (std::uint32_t I = 0; I < Tasks; ++I)
       Body.m_Tasks.push_back({I, 1});
     return Body;
