--- a/packages/worker/internal/backendsession.cpp
+++ b/packages/worker/internal/backendsession.cpp
@@ -227,7 +227,7 @@
 
 void BackendSession::startWaiting() {
   while (isServing() && m_Ledger.occupied() < m_Condition.limit()) {
-    RunPointer Next = m_Ledger.nextToStart(m_Timers.now());
+    RunPointer Next = m_Ledger.nextToStart();
     if (!Next)
       break;
     m_Ledger.unqueue(*Next);
--- a/packages/worker/internal/runledger.cpp
+++ b/packages/worker/internal/runledger.cpp
@@ -16,8 +16,6 @@
 /// From this progress on, percent, it tells more than the estimate.
 constexpr std::uint32_t TrustedProgress = 10;
 constexpr double WholePercent = 100;
-/// Puts late runs behind all that can be in time; no run waits that long.
-constexpr Duration BehindOthers = seconds(5);
 
 } // namespace
 
@@ -55,21 +53,11 @@
   }
 }
 
-TimePoint RunLedger::orderOf(const PlacedJob &Job, TimePoint Now) {
-  bool IsLate = Job.m_StartBy < Now;
-  return IsLate ? Job.m_OrderKey + BehindOthers : Job.m_OrderKey;
-}
-
-RunPointer RunLedger::nextToStart(TimePoint Now) const {
-  RunPointer First;
-  for (const auto &Known : m_Queue) {
-    bool IsEarlier = !First || orderOf(*Known.second->m_Job, Now) <
-                                   orderOf(*First->m_Job, Now);
-    if (IsEarlier)
-      First = Known.second;
-  }
-  bool Fits = First && free().holds(First->m_Job->m_Need);
-  return Fits ? First : nullptr;
+RunPointer RunLedger::nextToStart() const {
+  if (m_Queue.empty())
+    return nullptr;
+  const RunPointer &First = m_Queue.begin()->second;
+  return free().holds(First->m_Job->m_Need) ? First : nullptr;
 }
 
 void RunLedger::occupy(const Run &Started) {
@@ -86,7 +74,7 @@
                                  double Slowness) const {
   std::int64_t Ahead = 0;
   for (const auto &Known : m_Queue)
-    if (orderOf(*Known.second->m_Job, Now) <= Job.m_OrderKey)
+    if (Known.first <= Job.m_OrderKey)
       Ahead += Known.second->m_Job->m_Need.m_MilliCores;
   if (Ahead == 0 && free().holds(Job.m_Need))
     return Duration::zero();
@@ -96,14 +84,10 @@
 }
 
 std::vector<WaitingWork> RunLedger::waiting(TimePoint Now) const {
-  std::multimap<TimePoint, const PlacedJob *> Ordered;
-  for (const auto &Known : m_Queue)
-    Ordered.emplace(orderOf(*Known.second->m_Job, Now),
-                    Known.second->m_Job.get());
   std::vector<WaitingWork> Steps;
-  for (const auto &Known : Ordered) {
-    const PlacedJob &Job = *Known.second;
-    Duration Within = Known.first - Now;
+  for (const auto &Known : m_Queue) {
+    const PlacedJob &Job = *Known.second->m_Job;
+    Duration Within = Job.m_OrderKey - Now;
     bool IsSameStep =
         !Steps.empty() && Within - Steps.back().m_OrderWithin < WaitingStep;
     if (IsSameStep)
--- a/packages/worker/internal/runledger.h
+++ b/packages/worker/internal/runledger.h
@@ -33,10 +33,8 @@
   void unqueue(const Run &Taken);
 
   /// The first run of the queue if there is room for it. A large task at the
-  /// head is not overtaken, so that small ones cannot starve it. When load
-  /// lasts, runs that are late already go behind those that can be in time:
-  /// else one late start makes the next one late.
-  RunPointer nextToStart(TimePoint Now) const;
+  /// head is not overtaken, so that small ones cannot starve it.
+  RunPointer nextToStart() const;
 
   /// The run takes room from now on, until release().
   void occupy(const Run &Started);
@@ -55,8 +53,6 @@
 private:
   using Queue = std::multimap<TimePoint, RunPointer>;
 
-  static TimePoint orderOf(const PlacedJob &Job, TimePoint Now);
-
   Room m_Capacity;
   Room m_InUse;
   std::size_t m_Occupied = 0;
