--- a/packages/worker/internal/serverlink.cpp
+++ b/packages/worker/internal/serverlink.cpp
@@ -4,21 +4,14 @@
 
 namespace cyclamenwalk {
 
-namespace {
-
-/// Unanswered holds after which the lease is no longer renewed, so that runs
-/// are known to be over a lease later.
-constexpr std::uint32_t MaxUnansweredRenewals = 2;
-
-} // namespace
-
 ServerLink::ServerLink(std::string Address, std::string Instance,
                        WorkerSettings Settings, const WorkerDependencies &Needs,
                        Hooks Calls)
     : m_Address(std::move(Address)), m_Instance(std::move(Instance)),
       m_Settings(Settings), m_Control(Needs.m_Control),
       m_Timers(Needs.m_Timers), m_Hooks(std::move(Calls)),
-      m_Token(Needs.m_FirstToken()), m_LeaseSentAt(m_Timers.now()) {}
+      m_Token(Needs.m_FirstToken()), m_LeaseSentAt(m_Timers.now()),
+      m_AnsweredAt(m_Timers.now()) {}
 
 ServerLink::~ServerLink() { m_Timers.cancel(m_Timer); }
 
@@ -74,8 +67,9 @@
   HoldOrder Order;
   Order.m_To = target();
   Order.m_LastEnd = m_LastEnd;
-  bool RenewsLease =
-      Why != Purpose::Look && m_Unanswered < MaxUnansweredRenewals;
+  bool IsAnswering =
+      m_Timers.now() - m_AnsweredAt < m_Settings.m_RenewalPatience;
+  bool RenewsLease = Why != Purpose::Look && IsAnswering;
   if (RenewsLease)
     Order.m_LeaseUntil = leaseUntil();
   if (Why == Purpose::Renew)
@@ -96,7 +90,7 @@
                          const HoldReply &Reply) {
   if (Reply.m_Outcome != OrderOutcome::Done)
     return receiveNothing(Why, Reply);
-  m_Unanswered = 0;
+  m_AnsweredAt = m_Timers.now();
   noteClock(Reply.m_Clock);
   std::uint64_t Token = Sent.m_To.m_FencingToken;
   if (Why == Purpose::Fence && m_FencePending <= Token)
@@ -109,11 +103,10 @@
 }
 
 void ServerLink::receiveNothing(Purpose Why, const HoldReply &Reply) {
-  ++m_Unanswered;
   logEvent(LogLevel::Warning, "backend.hold_failed",
            {{"instance", m_Instance},
             {"outcome", static_cast<int>(Reply.m_Outcome)},
-            {"failures", m_Unanswered},
+            {"silent_ms", toMilliseconds(m_Timers.now() - m_AnsweredAt)},
             {"token", m_Token}});
   if (Reply.m_Outcome == OrderOutcome::Unreachable)
     return m_Hooks.m_Lost("nothing listens at its address");
@@ -128,7 +121,9 @@
   }
   // A fence that was not confirmed must not take the timer of the renewals.
   std::weak_ptr<bool> Alive = m_Alive;
-  m_Timers.subscribe(m_Settings.m_LookPause, [this, Alive, Why] {
+  bool IsFirst = m_Timers.now() - m_AnsweredAt < m_Settings.m_LookPause * 3;
+  Duration Pause = IsFirst ? Duration::zero() : m_Settings.m_LookPause;
+  m_Timers.subscribe(Pause, [this, Alive, Why] {
     if (!Alive.expired())
       hold(Why);
   });
--- a/packages/worker/internal/serverlink.h
+++ b/packages/worker/internal/serverlink.h
@@ -82,7 +82,7 @@
   TimePoint m_ServerClockAt;
   /// When the last order that renews the lease was sent.
   TimePoint m_LeaseSentAt;
-  std::uint32_t m_Unanswered = 0;
+  TimePoint m_AnsweredAt;
   TimerId m_Timer = 0;
   std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
 };
--- a/packages/worker/types/backend.h
+++ b/packages/worker/types/backend.h
@@ -122,8 +122,12 @@
   Duration m_Lease = milliseconds(1000);
   /// How long the server holds an answer back while nothing ends.
   Duration m_HoldWait = milliseconds(300);
-  /// The same while runs are under way, whose progress is watched.
-  Duration m_BusyHoldWait = milliseconds(100);
+  /// The same while runs are under way: a lost answer hides ends for little
+  /// longer than this.
+  Duration m_BusyHoldWait = milliseconds(30);
+  /// Without any answer for this time the lease is no longer renewed, so that
+  /// runs are known to be over a lease later.
+  Duration m_RenewalPatience = milliseconds(450);
   /// After its lease, and this for clocks of unequal speed, a run is over.
   Duration m_LeaseSlack = milliseconds(100);
   /// Pause between looks while runs of an earlier agent are being ended.
