One client for the store: the platform's published protocol

The invented table protocol, its client and codec are gone; the programs take the client from platform/, the stand-in speaks rows and objects, and the tests of the old client were ported to the new one. The product's package is called store. One HTTP client stays beside the blocking one of the command line; a refused connection is told from a lost reply.

--- a/packages/agent/agentprogram.h
+++ b/packages/agent/agentprogram.h
@@ -2,6 +2,7 @@
 #define CYCLAMENWALK_AGENT_AGENTPROGRAM_H
 
 #include "settings/processsettings.h"
+#include "store/storemodule.h"
 
 #include <memory>
 
@@ -11,7 +12,7 @@
 class AgentProgram {
 public:
   /// Throws Error when an address is taken or a chart is not valid.
-  explicit AgentProgram(const AgentSettings &Settings);
+  AgentProgram(const AgentSettings &Settings, const StoreFactory &MakeStore);
   ~AgentProgram();
 
   /// Serves on the calling thread, which becomes the control thread, until a
--- a/packages/agent/internal/agentprogram.cpp
+++ b/packages/agent/internal/agentprogram.cpp
@@ -7,11 +7,10 @@
 #include "core/controlloop.h"
 #include "core/error.h"
 #include "core/log.h"
-#include "http/httpclientmodule.h"
 #include "http/httpserver.h"
+#include "http/multiplexhttp.h"
 #include "membership/membershipmodule.h"
 #include "metrics/metricsregistry.h"
-#include "platform/platformmodule.h"
 #include "process/chartlocation.h"
 #include "process/processlifecycle.h"
 #include "process/signalwatch.h"
@@ -19,6 +18,7 @@
 #include "settings/desiredstatereader.h"
 #include "slot/slotmodule.h"
 #include "statechart/chartfolder.h"
+#include "store/storemodule.h"
 #include "transport/transportmodule.h"
 
 #include <set>
@@ -27,7 +27,7 @@
 
 namespace {
 
-constexpr std::size_t ControlCallThreads = 2;
+constexpr Duration ConnectTimeout = seconds(1);
 constexpr Duration HttpStopLimit = seconds(2);
 constexpr int HttpOk = 200;
 constexpr int HttpBadRequest = 400;
@@ -49,21 +49,21 @@
 
 class AgentProgram::Impl {
 public:
-  explicit Impl(const AgentSettings &Settings)
+  Impl(const AgentSettings &Settings, const StoreFactory &MakeStore)
       : m_Settings(Settings), m_Process(Settings.m_Process), m_Own(makeSelf()),
         m_Charts(chartLocation(m_Process.m_Charts)),
         m_Metrics(m_Process.m_Name, m_Process.m_FailureDomain),
-        m_Platform({m_Process.m_Platform, m_Process.m_PlatformTimeout}, m_Loop,
-                   m_Loop, m_Metrics),
-        m_TaskClient(Settings.m_ExecutorThreads, m_Loop),
-        m_ControlClient(ControlCallThreads, m_Loop),
+        m_Store(makeStore({m_Process.m_Platform, m_Process.m_PlatformTimeout},
+                          MakeStore, m_Loop, m_Loop, m_Metrics)),
+        m_TaskClient({Settings.m_ExecutorThreads, ConnectTimeout}, m_Loop),
+        m_ControlClient(MultiplexSettings{}, m_Loop),
         m_Transport({m_Process.m_MessageListen, m_Process.m_MessageLimit},
                     m_Loop, m_Metrics),
         m_Links(makeLinks(m_Own, LinkSettings{}, m_Charts,
                           m_Transport.transport(), m_Loop, m_Metrics)),
         m_Configuration(makeConfigurationStore(parseConfiguration, m_Charts)),
         m_Relay(*m_Configuration, *m_Links),
-        m_Executor(m_TaskClient.client(), m_ControlClient.client()),
+        m_Executor(m_TaskClient, m_ControlClient),
         m_Slots(makeSlotService(SlotSettings{}, chooseByDemand, m_Charts,
                                 *m_Links, m_Executor, m_Loop, m_Metrics)),
         m_Selection(makeEntrySelection(
@@ -228,7 +228,7 @@
   void lookUpEntries() {
     if (m_Process.m_Platform.empty())
       return;
-    m_Platform.tables().scan("entries", "", [this](const ScanResult &Result) {
+    m_Store->scan("entries", "", [this](const ScanResult &Result) {
       std::vector<EntryAddress> Found;
       for (const KeyedRow &Known : Result.m_Rows)
         if (auto Row = entryRowCodec().m_Decode(Known.m_Row.m_Value))
@@ -246,9 +246,9 @@
   const ChartFolder m_Charts;
   ControlLoop m_Loop;
   MetricsRegistry m_Metrics;
-  PlatformModule m_Platform;
-  HttpClientModule m_TaskClient;
-  HttpClientModule m_ControlClient;
+  const std::unique_ptr<IStore> m_Store;
+  MultiplexHttp m_TaskClient;
+  MultiplexHttp m_ControlClient;
   TransportModule m_Transport;
   std::unique_ptr<ILinks> m_Links;
   std::unique_ptr<IConfigurationStore> m_Configuration;
@@ -262,8 +262,9 @@
   std::string m_Service;
 };
 
-AgentProgram::AgentProgram(const AgentSettings &Settings)
-    : m_Impl(std::make_unique<Impl>(Settings)) {}
+AgentProgram::AgentProgram(const AgentSettings &Settings,
+                           const StoreFactory &MakeStore)
+    : m_Impl(std::make_unique<Impl>(Settings, MakeStore)) {}
 AgentProgram::~AgentProgram() = default;
 
 void AgentProgram::run() { m_Impl->run(); }
--- a/packages/cli/cliprogram.h
+++ b/packages/cli/cliprogram.h
@@ -1,6 +1,8 @@
 #ifndef CYCLAMENWALK_CLI_CLIPROGRAM_H
 #define CYCLAMENWALK_CLI_CLIPROGRAM_H
 
+#include "store/storemodule.h"
+
 #include <string>
 #include <vector>
 
@@ -24,10 +26,12 @@
 };
 
 /// The program cyclamenwalk: the entry and the operator's command line.
-ExitStatus runCli(const std::vector<std::string> &Arguments);
+ExitStatus runCli(const std::vector<std::string> &Arguments,
+                  const StoreFactory &MakeStore);
 
 /// The program cyclamenwalk-agent.
-ExitStatus runAgentCli(const std::vector<std::string> &Arguments);
+ExitStatus runAgentCli(const std::vector<std::string> &Arguments,
+                       const StoreFactory &MakeStore);
 
 } // namespace cyclamenwalk
 
--- a/packages/cli/internal/cliprogram.cpp
+++ b/packages/cli/internal/cliprogram.cpp
@@ -57,18 +57,19 @@
   }
 }
 
-ExitStatus serveAgent(const std::string &File) {
+ExitStatus serveAgent(const std::string &File, const StoreFactory &MakeStore) {
   AgentSettings Settings = readAgentSettings(File);
   startLogging(Settings.m_Process.m_Name, Settings.m_Process.m_LogLevel);
-  AgentProgram(Settings).run();
+  AgentProgram(Settings, MakeStore).run();
   stopLogging();
   return ExitStatus::Ok;
 }
 
 } // namespace
 
-ExitStatus runCli(const std::vector<std::string> &Arguments) {
-  std::vector<Command> Commands = makeCommands();
+ExitStatus runCli(const std::vector<std::string> &Arguments,
+                  const StoreFactory &MakeStore) {
+  std::vector<Command> Commands = makeCommands(MakeStore);
   std::string Name = Arguments.empty() ? "" : Arguments[0];
   if (Name == "--version") {
     std::cout << "cyclamenwalk " << Version << '\n';
@@ -87,7 +88,8 @@
   return ExitStatus::Usage;
 }
 
-ExitStatus runAgentCli(const std::vector<std::string> &Arguments) {
+ExitStatus runAgentCli(const std::vector<std::string> &Arguments,
+                       const StoreFactory &MakeStore) {
   const char *const Help = "usage: cyclamenwalk-agent <settings>\n"
                            "       cyclamenwalk-agent --version | --help\n";
   if (Arguments.size() != 1) {
@@ -102,7 +104,7 @@
     std::cout << Help;
     return ExitStatus::Ok;
   }
-  return reporting([&] { return serveAgent(Arguments[0]); });
+  return reporting([&] { return serveAgent(Arguments[0], MakeStore); });
 }
 
 } // namespace cyclamenwalk
--- a/packages/cli/internal/command.cpp
+++ b/packages/cli/internal/command.cpp
@@ -26,9 +26,9 @@
 
 } // namespace
 
-std::vector<Command> makeCommands() {
+std::vector<Command> makeCommands(const StoreFactory &MakeStore) {
   std::vector<Command> Commands;
-  addLocalCommands(Commands);
+  addLocalCommands(Commands, MakeStore);
   addRemoteCommands(Commands);
   return Commands;
 }
--- a/packages/cli/internal/command.h
+++ b/packages/cli/internal/command.h
@@ -25,11 +25,12 @@
 };
 
 /// All commands, in the order in which they are listed.
-std::vector<Command> makeCommands();
+std::vector<Command> makeCommands(const StoreFactory &MakeStore);
 
 /// The commands that talk to an entry, and those that work on files.
 void addRemoteCommands(std::vector<Command> &Commands);
-void addLocalCommands(std::vector<Command> &Commands);
+void addLocalCommands(std::vector<Command> &Commands,
+                      const StoreFactory &MakeStore);
 
 /// Parses \p Arguments for \p Chosen and runs it.
 ExitStatus runCommand(const Command &Chosen,
--- a/packages/cli/internal/localcommands.cpp
+++ b/packages/cli/internal/localcommands.cpp
@@ -17,11 +17,12 @@
 namespace po = boost::program_options;
 using Json = nlohmann::json;
 
-ExitStatus runServe(const CommandOptions &Options) {
+ExitStatus runServe(const CommandOptions &Options,
+                    const StoreFactory &MakeStore) {
   EntrySettings Settings =
       readEntrySettings(Options["settings"].as<std::string>());
   startLogging(Settings.m_Process.m_Name, Settings.m_Process.m_LogLevel);
-  EntryProgram(Settings).run();
+  EntryProgram(Settings, MakeStore).run();
   stopLogging();
   return ExitStatus::Ok;
 }
@@ -61,12 +62,15 @@
 
 } // namespace
 
-void addLocalCommands(std::vector<Command> &Commands) {
+void addLocalCommands(std::vector<Command> &Commands,
+                      const StoreFactory &MakeStore) {
   Commands.push_back({"serve",
                       "run an entry with a settings file",
                       {"settings"},
                       po::options_description(),
-                      runServe});
+                      [MakeStore](const CommandOptions &Options) {
+                        return runServe(Options, MakeStore);
+                      }});
   Commands.push_back({"check",
                       "check a configuration file without applying it",
                       {"file"},
--- a/packages/cli/tests/cli_test.cpp
+++ b/packages/cli/tests/cli_test.cpp
@@ -15,7 +15,7 @@
   explicit CliRun(const std::vector<std::string> &Arguments) {
     testing::internal::CaptureStdout();
     testing::internal::CaptureStderr();
-    m_Status = runCli(Arguments);
+    m_Status = runCli(Arguments, StoreFactory());
     m_Out = testing::internal::GetCapturedStdout();
     m_Err = testing::internal::GetCapturedStderr();
   }
--- a/packages/configuration/configurationmodule.h
+++ b/packages/configuration/configurationmodule.h
@@ -4,9 +4,9 @@
 #include "configuration/iapplyservice.h"
 #include "configuration/iconfigurationstore.h"
 #include "core/itimerservice.h"
-#include "platform/iobjectstore.h"
-#include "platform/itableservice.h"
 #include "statechart/ichartsource.h"
+#include "store/iobjectstore.h"
+#include "store/itableservice.h"
 
 #include <memory>
 
--- a/packages/configuration/internal/desiredstate.cpp
+++ b/packages/configuration/internal/desiredstate.cpp
@@ -55,8 +55,8 @@
     bool Matches = Known.m_Host == Host && Path.starts_with(Known.m_PathPrefix);
     if (!Matches)
       continue;
-    bool IsLonger = !Longest || Known.m_PathPrefix.size() >
-                                    Longest->m_PathPrefix.size();
+    bool IsLonger =
+        !Longest || Known.m_PathPrefix.size() > Longest->m_PathPrefix.size();
     if (IsLonger)
       Longest = &Known;
   }
--- a/packages/configuration/internal/rows.h
+++ b/packages/configuration/internal/rows.h
@@ -1,7 +1,7 @@
 #ifndef CYCLAMENWALK_CONFIGURATION_INTERNAL_ROWS_H
 #define CYCLAMENWALK_CONFIGURATION_INTERNAL_ROWS_H
 
-#include "platform/types/table.h"
+#include "store/types/table.h"
 
 #include <cstdint>
 #include <string>
--- a/packages/configuration/tests/configuration_test.cpp
+++ b/packages/configuration/tests/configuration_test.cpp
@@ -1,15 +1,15 @@
 #include "configuration/configurationmodule.h"
 #include "core/error.h"
 #include "core/tests/mocks/manualtimerservice.h"
-#include "platform/tests/mocks/platformfake.h"
 #include "statechart/chartfolder.h"
+#include "store/tests/mocks/storefake.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 #include <sstream>
 
 using namespace cyclamenwalk;
-using Fault = PlatformFake::Fault;
+using Fault = StoreFake::Fault;
 
 namespace {
 
@@ -43,7 +43,7 @@
 
 /// One entry as far as configuration goes.
 struct Site {
-  Site(PlatformFake &Platform, ManualTimerService &Timers)
+  Site(StoreFake &Platform, ManualTimerService &Timers)
       : m_Store(makeConfigurationStore(parseNames, m_Charts)),
         m_Apply(makeApplyService(parseNames, plainCodec(), *m_Store, m_Charts,
                                  Platform, Platform, Timers)),
@@ -79,7 +79,7 @@
   }
 
   ManualTimerService m_Timers;
-  PlatformFake m_Platform;
+  StoreFake m_Platform;
   Site m_First{m_Platform, m_Timers};
   Site m_Second{m_Platform, m_Timers};
 };
@@ -207,7 +207,7 @@
 TEST(Configuration, anyFaultsKeepAcceptedVersions) {
   EXPECT_TRUE(rc::check("accepted is written once and kept", [] {
     ManualTimerService Timers;
-    PlatformFake Platform;
+    StoreFake Platform;
     Site First(Platform, Timers);
     Site Second(Platform, Timers);
     int Ids = 0;
--- a/packages/core/internal/log.cpp
+++ b/packages/core/internal/log.cpp
@@ -71,8 +71,7 @@
 
 void startLogging(const std::string &Process, LogLevel Lowest) {
   startWriter();
-  auto Logger =
-      spdlog::create_async_nb<spdlog::sinks::stdout_sink_mt>(Process);
+  auto Logger = spdlog::create_async_nb<spdlog::sinks::stdout_sink_mt>(Process);
   Logger->set_level(toSpdlog(Lowest));
   Logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ level=%l process=%n %v",
                       spdlog::pattern_time_type::utc);
--- a/packages/entry/entryprogram.h
+++ b/packages/entry/entryprogram.h
@@ -2,6 +2,7 @@
 #define CYCLAMENWALK_ENTRY_ENTRYPROGRAM_H
 
 #include "settings/processsettings.h"
+#include "store/storemodule.h"
 
 #include <memory>
 
@@ -11,7 +12,7 @@
 class EntryProgram {
 public:
   /// Throws Error when an address is taken or a chart is not valid.
-  explicit EntryProgram(const EntrySettings &Settings);
+  EntryProgram(const EntrySettings &Settings, const StoreFactory &MakeStore);
   ~EntryProgram();
 
   /// Serves on the calling thread, which becomes the control thread, until a
--- a/packages/entry/internal/callerapi.cpp
+++ b/packages/entry/internal/callerapi.cpp
@@ -1,8 +1,8 @@
 #include "entry/internal/callerapi.h"
 
+#include "core/controlcall.h"
 #include "core/error.h"
 #include "core/log.h"
-#include "core/controlcall.h"
 #include "entry/internal/forwarding.h"
 #include "entry/internal/jsoncodec.h"
 
--- a/packages/entry/internal/entrycontext.h
+++ b/packages/entry/internal/entrycontext.h
@@ -8,9 +8,9 @@
 #include "job/ijobservice.h"
 #include "membership/ientryregistry.h"
 #include "metrics/metricsregistry.h"
-#include "platform/itableservice.h"
 #include "process/processlifecycle.h"
 #include "request/irequestservice.h"
+#include "store/itableservice.h"
 
 #include <string>
 
--- a/packages/entry/internal/entryprogram.cpp
+++ b/packages/entry/internal/entryprogram.cpp
@@ -9,16 +9,16 @@
 #include "entry/internal/operatorapi.h"
 #include "entry/internal/peersync.h"
 #include "entry/internal/policychoice.h"
-#include "http/httpclientmodule.h"
+#include "http/multiplexhttp.h"
 #include "job/jobmodule.h"
 #include "membership/membershipmodule.h"
-#include "platform/platformmodule.h"
 #include "process/chartlocation.h"
 #include "process/signalwatch.h"
 #include "request/requestmodule.h"
 #include "rowcodec/rowcodecs.h"
 #include "settings/desiredstatereader.h"
 #include "statechart/chartfolder.h"
+#include "store/storemodule.h"
 #include "transport/transportmodule.h"
 
 #include <set>
@@ -27,7 +27,6 @@
 
 namespace {
 
-constexpr std::size_t ClientThreads = 4;
 constexpr Duration FetchTimeout = seconds(305);
 constexpr Duration HttpStopLimit = seconds(5);
 
@@ -39,33 +38,33 @@
 
 class EntryProgram::Impl {
 public:
-  explicit Impl(const EntrySettings &Settings)
+  Impl(const EntrySettings &Settings, const StoreFactory &MakeStore)
       : m_Settings(Settings), m_Process(Settings.m_Process),
         m_Own(makeAddress()), m_Charts(chartLocation(m_Process.m_Charts)),
         m_Metrics(m_Process.m_Name, m_Process.m_FailureDomain),
-        m_Platform({m_Process.m_Platform, m_Process.m_PlatformTimeout}, m_Loop,
-                   m_Loop, m_Metrics),
-        m_Client(ClientThreads, m_Loop),
+        m_Store(makeStore({m_Process.m_Platform, m_Process.m_PlatformTimeout},
+                          MakeStore, m_Loop, m_Loop, m_Metrics)),
+        m_Client(MultiplexSettings{}, m_Loop),
         m_Transport({m_Process.m_MessageListen, m_Process.m_MessageLimit},
                     m_Loop, m_Metrics),
         m_Links(makeLinks(makeSelf(), LinkSettings{}, m_Charts,
                           m_Transport.transport(), m_Loop, m_Metrics)),
         m_Registry(makeEntryRegistry(m_Own, RegistrySettings{}, entryRowCodec(),
-                                     m_Charts, m_Platform.tables(), m_Loop)),
+                                     m_Charts, *m_Store, m_Loop)),
         m_Configuration(makeConfigurationStore(parseConfiguration, m_Charts)),
         m_Relay(*m_Configuration, *m_Links),
-        m_Apply(makeApplyService(
-            parseConfiguration, recordCodec(), *m_Configuration, m_Charts,
-            m_Platform.tables(), m_Platform.objects(), m_Loop)),
+        m_Apply(makeApplyService(parseConfiguration, recordCodec(),
+                                 *m_Configuration, m_Charts, *m_Store, *m_Store,
+                                 m_Loop)),
         m_Jobs(makeJobs()), m_Requests(makeRequests()),
         m_Lifecycle(lifecycleHooks(), m_Process.m_DrainLimit, m_Charts, m_Loop),
         m_PeerSync({Settings.m_Peers, Settings.m_OperatorToken}, m_Own,
-                   m_Client.client(), *m_Registry, *m_Configuration, m_Loop),
+                   m_Client, *m_Registry, *m_Configuration, m_Loop),
         m_Context{m_Own,       Settings.m_OperatorToken,
                   m_Loop,      m_Loop,
                   *m_Jobs,     *m_Requests,
                   *m_Registry, *m_Configuration,
-                  *m_Apply,    m_Platform.tables(),
+                  *m_Apply,    *m_Store,
                   m_Lifecycle, m_Metrics},
         m_CallerApi(m_Context), m_OperatorApi(m_Context),
         m_Http({m_Process.m_HttpListen, m_Process.m_BodyLimit}) {
@@ -108,7 +107,7 @@
     return makeRequestService(
         m_Own.m_Incarnation, RequestSettings{}, claimRowCodec(),
         [this](JobId Id, const JobDone &Done) { fetchElsewhere(Id, Done); },
-        {m_Charts, *m_Jobs, m_Platform.tables(), m_Loop});
+        {m_Charts, *m_Jobs, *m_Store, m_Loop});
   }
 
   ProcessLifecycle::Hooks lifecycleHooks() {
@@ -156,7 +155,7 @@
   void start() {
     m_Watch = std::make_unique<ConfigurationWatch>(
         m_Settings.m_ConfigurationPoll, recordCodec(), *m_Configuration,
-        m_Platform.tables(), m_Platform.objects(), m_Loop);
+        *m_Store, *m_Store, m_Loop);
     m_Registry->start([this](const std::vector<EntryAddress> &) {
       m_Jobs->reconfigure();
       sendEntryList();
@@ -211,10 +210,10 @@
       HttpRequest Request;
       Request.m_Url = "http://" + Known.m_HttpAddress + "/v1/jobs/" +
                       toString(Id) + "?wait_ms=300000";
-      m_Client.client().send(Request, FetchTimeout,
-                             [Id, Done](const HttpResponse &Response) {
-                               Done(decodeAnswer(Id, Response));
-                             });
+      m_Client.send(Request, FetchTimeout,
+                    [Id, Done](const HttpResponse &Response) {
+                      Done(decodeAnswer(Id, Response));
+                    });
       return;
     }
     Done(decodeAnswer(Id, HttpResponse{}));
@@ -228,8 +227,8 @@
   const ChartFolder m_Charts;
   ControlLoop m_Loop;
   MetricsRegistry m_Metrics;
-  PlatformModule m_Platform;
-  HttpClientModule m_Client;
+  const std::unique_ptr<IStore> m_Store;
+  MultiplexHttp m_Client;
   TransportModule m_Transport;
   std::unique_ptr<ILinks> m_Links;
   std::unique_ptr<IEntryRegistry> m_Registry;
@@ -248,8 +247,9 @@
   std::set<Incarnation> m_Agents;
 };
 
-EntryProgram::EntryProgram(const EntrySettings &Settings)
-    : m_Impl(std::make_unique<Impl>(Settings)) {}
+EntryProgram::EntryProgram(const EntrySettings &Settings,
+                           const StoreFactory &MakeStore)
+    : m_Impl(std::make_unique<Impl>(Settings, MakeStore)) {}
 EntryProgram::~EntryProgram() = default;
 
 void EntryProgram::run() { m_Impl->run(); }
--- a/packages/entry/internal/operatorapi.cpp
+++ b/packages/entry/internal/operatorapi.cpp
@@ -1,8 +1,8 @@
 #include "entry/internal/operatorapi.h"
 
+#include "core/controlcall.h"
 #include "core/error.h"
 #include "entry/internal/callerapi.h"
-#include "core/controlcall.h"
 #include "entry/internal/jsoncodec.h"
 #include "rowcodec/rowcodecs.h"
 
--- a/packages/http/tests/http_test.cpp
+++ b/packages/http/tests/http_test.cpp
@@ -1,10 +1,12 @@
 #include "core/controlloop.h"
 #include "core/error.h"
 #include "http/blockinghttp.h"
-#include "http/httpclientmodule.h"
 #include "http/httpserver.h"
+#include "http/multiplexhttp.h"
 
+#include <future>
 #include <gtest/gtest.h>
+#include <thread>
 
 using namespace cyclamenwalk;
 
@@ -64,19 +66,65 @@
   HttpServer Server = makeServer();
   Server.start();
   ControlLoop Loop;
-  HttpClientModule Client(2, Loop);
+  MultiplexHttp Client({2, seconds(1)}, Loop);
   int Answered = 0;
   for (int I = 0; I < 5; ++I)
-    Client.client().send(post("/echo/n", ""), seconds(5),
-                         [&](const HttpResponse &R) {
-                           EXPECT_EQ(R.m_Status, 201);
-                           if (++Answered == 5)
-                             Loop.stop();
-                         });
+    Client.send(post("/echo/n", ""), seconds(5), [&](const HttpResponse &R) {
+      EXPECT_EQ(R.m_Status, 201);
+      if (++Answered == 5)
+        Loop.stop();
+    });
   Loop.run();
   EXPECT_EQ(Answered, 5);
 }
 
+TEST(Http, aRefusedConnectionIsToldFromALostReply) {
+  HttpServer Server = makeServer();
+  Server.route("GET", "/slow", [](const HttpRequest &) {
+    std::this_thread::sleep_for(milliseconds(300));
+    return HttpResponse();
+  });
+  Server.start();
+  ControlLoop Loop;
+  MultiplexHttp Client(MultiplexSettings{}, Loop);
+  HttpRequest Slow;
+  Slow.m_Url = Base + "/slow";
+  HttpRequest Nobody;
+  Nobody.m_Url = "http://127.0.0.1:1/";
+  std::vector<std::pair<int, bool>> Seen;
+  auto Note = [&](const HttpResponse &Response) {
+    Seen.emplace_back(Response.m_Status, Response.m_WasSent);
+    if (Seen.size() == 2)
+      Loop.stop();
+  };
+  Client.send(Nobody, seconds(2), Note);
+  Client.send(Slow, milliseconds(50), Note);
+  Loop.run();
+  EXPECT_EQ(Seen, (std::vector<std::pair<int, bool>>{{0, false}, {0, true}}));
+}
+
+TEST(Http, tellsThatACallerHasLeft) {
+  HttpServer Server = makeServer();
+  ControlLoop Loop;
+  Server.route("GET", "/wait", [&](const HttpRequest &Request) {
+    std::promise<void> Left;
+    Server.watch(Request, [&Left] { Left.set_value(); });
+    auto Status = Left.get_future().wait_for(seconds(5));
+    Server.unwatch(Request);
+    Loop.post([&Loop, Status] {
+      EXPECT_EQ(Status, std::future_status::ready);
+      Loop.stop();
+    });
+    return HttpResponse();
+  });
+  Server.start();
+  MultiplexHttp Client(MultiplexSettings{}, Loop);
+  HttpRequest Wait;
+  Wait.m_Url = Base + "/wait";
+  Client.send(Wait, milliseconds(100), [](const HttpResponse &) {});
+  Loop.run();
+}
+
 TEST(Http, refusesAddressesThatCannotBeListenedOn) {
   EXPECT_THROW(HttpServer({"localhost:1"}), Error);
   EXPECT_THROW(HttpServer({"127.0.0.1:0"}), Error);
--- a/packages/membership/internal/entryregistry.h
+++ b/packages/membership/internal/entryregistry.h
@@ -3,9 +3,9 @@
 
 #include "core/itimerservice.h"
 #include "membership/ientryregistry.h"
-#include "platform/itableservice.h"
 #include "statechart/boundchart.h"
 #include "statechart/ichartsource.h"
+#include "store/itableservice.h"
 
 #include <map>
 
--- a/packages/membership/membershipmodule.h
+++ b/packages/membership/membershipmodule.h
@@ -6,8 +6,8 @@
 #include "membership/ientryregistry.h"
 #include "membership/ientryselection.h"
 #include "membership/ilinks.h"
-#include "platform/itableservice.h"
 #include "statechart/ichartsource.h"
+#include "store/itableservice.h"
 #include "transport/itransport.h"
 
 #include <memory>
--- a/packages/membership/tests/registry_test.cpp
+++ b/packages/membership/tests/registry_test.cpp
@@ -2,8 +2,8 @@
 #include "membership/internal/entryregistry.h"
 #include "membership/internal/entryselection.h"
 #include "membership/tests/mocks/linksmock.h"
-#include "platform/tests/mocks/platformfake.h"
 #include "statechart/chartfolder.h"
+#include "store/tests/mocks/storefake.h"
 
 #include <gtest/gtest.h>
 #include <sstream>
@@ -58,7 +58,7 @@
 
   ChartFolder m_Charts{CW_CHART_DIR};
   ManualTimerService m_Timers;
-  PlatformFake m_Platform;
+  StoreFake m_Platform;
   int m_Changes = 0;
 };
 
@@ -91,12 +91,12 @@
 TEST_F(RegistryTest, storeOutageKeepsNobodyOutWhoIsKnownFromPeers) {
   auto First = make("entry-1", 1);
   EXPECT_TRUE(First->isStoreAnswering());
-  m_Platform.m_Fault = PlatformFake::Fault::Down;
+  m_Platform.m_Fault = StoreFake::Fault::Down;
   advance(seconds(3));
   EXPECT_FALSE(First->isStoreAnswering());
   First->learn({address("entry-2", 2)});
   EXPECT_EQ(First->members().size(), 2u);
-  m_Platform.m_Fault = PlatformFake::Fault::None;
+  m_Platform.m_Fault = StoreFake::Fault::None;
   advance(seconds(3));
   EXPECT_TRUE(First->isStoreAnswering());
 }
@@ -106,7 +106,7 @@
   auto First = make("entry-1", 1);
   auto Second = make("entry-2", 2);
   advance(seconds(3));
-  m_Platform.m_Fault = PlatformFake::Fault::Down;
+  m_Platform.m_Fault = StoreFake::Fault::Down;
   Second.reset();
   First->hear(address("entry-2", 3));
   ASSERT_EQ(First->members().size(), 2u);
--- a/packages/metrics/metricsregistry.h
+++ b/packages/metrics/metricsregistry.h
@@ -9,7 +9,8 @@
 
 namespace cyclamenwalk {
 
-/// The counters and latencies of a process, kept and rendered by prometheus-cpp.
+/// The counters and latencies of a process, kept and rendered by
+/// prometheus-cpp.
 class MetricsRegistry final : public IMetrics {
 public:
   /// \p Process and \p Domain label every series.
--- a/packages/process/signalwatch.h
+++ b/packages/process/signalwatch.h
@@ -6,8 +6,8 @@
 
 namespace cyclamenwalk {
 
-/// Waits for SIGTERM, SIGINT and SIGHUP on a thread of its own. Made before any other
-/// thread, so that all inherit the blocked signals.
+/// Waits for SIGTERM, SIGINT and SIGHUP on a thread of its own. Made before any
+/// other thread, so that all inherit the blocked signals.
 class SignalWatch {
 public:
   SignalWatch();
--- a/packages/request/requestmodule.h
+++ b/packages/request/requestmodule.h
@@ -3,9 +3,9 @@
 
 #include "core/itimerservice.h"
 #include "job/ijobservice.h"
-#include "platform/itableservice.h"
 #include "request/irequestservice.h"
 #include "statechart/ichartsource.h"
+#include "store/itableservice.h"
 
 #include <memory>
 
--- a/packages/request/tests/request_test.cpp
+++ b/packages/request/tests/request_test.cpp
@@ -1,14 +1,14 @@
 #include "core/tests/mocks/manualtimerservice.h"
 #include "job/tests/mocks/jobservicemock.h"
-#include "platform/tests/mocks/platformfake.h"
 #include "request/requestmodule.h"
 #include "statechart/chartfolder.h"
+#include "store/tests/mocks/storefake.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
 using namespace cyclamenwalk;
-using Fault = PlatformFake::Fault;
+using Fault = StoreFake::Fault;
 
 namespace {
 
@@ -24,7 +24,7 @@
 
 /// The requests and jobs of one entry.
 struct Door {
-  Door(std::uint64_t Number, PlatformFake &Platform, ManualTimerService &Timers)
+  Door(std::uint64_t Number, StoreFake &Platform, ManualTimerService &Timers)
       : m_Own{Number}, m_Jobs(m_Own),
         m_Requests(makeRequestService(
             m_Own, RequestSettings{}, plainCodec(),
@@ -76,7 +76,7 @@
   }
 
   ManualTimerService m_Timers;
-  PlatformFake m_Platform;
+  StoreFake m_Platform;
   Door m_First{1, m_Platform, m_Timers};
   Door m_Second{2, m_Platform, m_Timers};
 };
@@ -203,7 +203,7 @@
 TEST(RequestProperties, keyRunsAtMostOnce) {
   EXPECT_TRUE(rc::check("at most once", [] {
     ManualTimerService Timers;
-    PlatformFake Platform;
+    StoreFake Platform;
     Door First(1, Platform, Timers);
     Door Second(2, Platform, Timers);
     First.m_Other = &Second;
--- a/packages/platform/internal/embeddedplatform.h
+++ b/packages/store/internal/embeddedstore.h
@@ -1,17 +1,16 @@
-#ifndef CYCLAMENWALK_PLATFORM_INTERNAL_EMBEDDEDPLATFORM_H
-#define CYCLAMENWALK_PLATFORM_INTERNAL_EMBEDDEDPLATFORM_H
+#ifndef CYCLAMENWALK_STORE_INTERNAL_EMBEDDEDSTORE_H
+#define CYCLAMENWALK_STORE_INTERNAL_EMBEDDEDSTORE_H
 
 #include "core/itimerservice.h"
-#include "platform/iobjectstore.h"
-#include "platform/itableservice.h"
-#include "platform/memorystore.h"
+#include "store/istore.h"
+#include "store/memorystore.h"
 
 namespace cyclamenwalk {
 
-/// A platform inside the process, for a single entry without one.
-class EmbeddedPlatform final : public ITableService, public IObjectStore {
+/// A store inside the process, for a single entry without one.
+class EmbeddedStore final : public IStore {
 public:
-  explicit EmbeddedPlatform(ITimerService &Timers);
+  explicit EmbeddedStore(ITimerService &Timers);
 
   void transact(Transaction Changes,
                 std::function<void(TransactionResult)> Done) override;
@@ -32,4 +31,4 @@
 
 } // namespace cyclamenwalk
 
-#endif // CYCLAMENWALK_PLATFORM_INTERNAL_EMBEDDEDPLATFORM_H
+#endif // CYCLAMENWALK_STORE_INTERNAL_EMBEDDEDSTORE_H
--- a/packages/platform/internal/memorystore.cpp
+++ b/packages/store/internal/memorystore.cpp
@@ -1,4 +1,4 @@
-#include "platform/memorystore.h"
+#include "store/memorystore.h"
 
 #include <map>
 
--- a/packages/platform/iobjectstore.h
+++ b/packages/store/iobjectstore.h
@@ -1,7 +1,7 @@
-#ifndef CYCLAMENWALK_PLATFORM_IOBJECTSTORE_H
-#define CYCLAMENWALK_PLATFORM_IOBJECTSTORE_H
+#ifndef CYCLAMENWALK_STORE_IOBJECTSTORE_H
+#define CYCLAMENWALK_STORE_IOBJECTSTORE_H
 
-#include "platform/types/table.h"
+#include "store/types/table.h"
 
 #include <functional>
 #include <string>
@@ -22,4 +22,4 @@
 
 } // namespace cyclamenwalk
 
-#endif // CYCLAMENWALK_PLATFORM_IOBJECTSTORE_H
+#endif // CYCLAMENWALK_STORE_IOBJECTSTORE_H
--- a/packages/platform/itableservice.h
+++ b/packages/store/itableservice.h
@@ -1,7 +1,7 @@
-#ifndef CYCLAMENWALK_PLATFORM_ITABLESERVICE_H
-#define CYCLAMENWALK_PLATFORM_ITABLESERVICE_H
+#ifndef CYCLAMENWALK_STORE_ITABLESERVICE_H
+#define CYCLAMENWALK_STORE_ITABLESERVICE_H
 
-#include "platform/types/table.h"
+#include "store/types/table.h"
 
 #include <functional>
 
@@ -25,4 +25,4 @@
 
 } // namespace cyclamenwalk
 
-#endif // CYCLAMENWALK_PLATFORM_ITABLESERVICE_H
+#endif // CYCLAMENWALK_STORE_ITABLESERVICE_H
--- a/packages/platform/memorystore.h
+++ b/packages/store/memorystore.h
@@ -1,7 +1,7 @@
-#ifndef CYCLAMENWALK_PLATFORM_MEMORYSTORE_H
-#define CYCLAMENWALK_PLATFORM_MEMORYSTORE_H
+#ifndef CYCLAMENWALK_STORE_MEMORYSTORE_H
+#define CYCLAMENWALK_STORE_MEMORYSTORE_H
 
-#include "platform/types/table.h"
+#include "store/types/table.h"
 
 #include <memory>
 
@@ -27,4 +27,4 @@
 
 } // namespace cyclamenwalk
 
-#endif // CYCLAMENWALK_PLATFORM_MEMORYSTORE_H
+#endif // CYCLAMENWALK_STORE_MEMORYSTORE_H
--- a/packages/platform/tests/mocks/platformfake.h
+++ b/packages/store/tests/mocks/storefake.h
@@ -1,9 +1,9 @@
-#ifndef CYCLAMENWALK_PLATFORM_TESTS_MOCKS_PLATFORMFAKE_H
-#define CYCLAMENWALK_PLATFORM_TESTS_MOCKS_PLATFORMFAKE_H
+#ifndef CYCLAMENWALK_STORE_TESTS_MOCKS_STOREFAKE_H
+#define CYCLAMENWALK_STORE_TESTS_MOCKS_STOREFAKE_H
 
-#include "platform/iobjectstore.h"
-#include "platform/itableservice.h"
-#include "platform/memorystore.h"
+#include "store/iobjectstore.h"
+#include "store/itableservice.h"
+#include "store/memorystore.h"
 
 #include <deque>
 
@@ -11,7 +11,7 @@
 
 /// A platform whose calls wait until the test answers them, and whose outages
 /// the test sets.
-class PlatformFake final : public ITableService, public IObjectStore {
+class StoreFake final : public ITableService, public IObjectStore {
 public:
   enum class Fault { None, Down, ReplyLost };
 
@@ -94,4 +94,4 @@
 
 } // namespace cyclamenwalk
 
-#endif // CYCLAMENWALK_PLATFORM_TESTS_MOCKS_PLATFORMFAKE_H
+#endif // CYCLAMENWALK_STORE_TESTS_MOCKS_STOREFAKE_H
--- a/packages/platform/types/table.h
+++ b/packages/store/types/table.h
@@ -1,5 +1,5 @@
-#ifndef CYCLAMENWALK_PLATFORM_TYPES_TABLE_H
-#define CYCLAMENWALK_PLATFORM_TYPES_TABLE_H
+#ifndef CYCLAMENWALK_STORE_TYPES_TABLE_H
+#define CYCLAMENWALK_STORE_TYPES_TABLE_H
 
 #include <cstdint>
 #include <optional>
@@ -79,4 +79,4 @@
 
 } // namespace cyclamenwalk
 
-#endif // CYCLAMENWALK_PLATFORM_TYPES_TABLE_H
+#endif // CYCLAMENWALK_STORE_TYPES_TABLE_H
--- a/packages/worker/internal/backendsession.h
+++ b/packages/worker/internal/backendsession.h
@@ -92,8 +92,7 @@
   bool isStalled(const Run &Known) const;
   void stopStalled();
   void takeEnds(const HoldReply &Reply);
-  void takeMissing(const ListsReceived &Lists,
-                   const std::set<RunName> &Listed);
+  void takeMissing(const ListsReceived &Lists, const std::set<RunName> &Listed);
   void judge(const Run &Ended, RunEnd How);
   void learnSlowness(const Run &Ended, Duration RunTime);
   double slowness() const;
--- a/standins/platform/platformstandin.cpp
+++ b/standins/platform/platformstandin.cpp
@@ -1,8 +1,11 @@
 #include "platform/platformstandin.h"
 
 #include "core/error.h"
-#include "platform/tablecodec.h"
 
+#include <algorithm>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <orcania.h>
 #include <thread>
 
 namespace cyclamenwalk {
@@ -10,7 +13,7 @@
 namespace {
 
 constexpr int HttpNotFound = 404;
-constexpr int HttpConflict = 409;
+constexpr int HttpConditionFailed = 412;
 constexpr int HttpBadRequest = 400;
 constexpr int HttpUnavailable = 503;
 /// Delay of each call while the service is slow.
@@ -25,6 +28,66 @@
   return Response;
 }
 
+using Json = nlohmann::json;
+
+std::string toBase64(const std::string &Bytes) {
+  std::string Text((Bytes.size() + 2) / 3 * 4 + 1, '\0');
+  std::size_t Length = Text.size();
+  o_base64_encode(reinterpret_cast<const unsigned char *>(Bytes.data()),
+                  Bytes.size(), reinterpret_cast<unsigned char *>(Text.data()),
+                  &Length);
+  Text.resize(Length);
+  return Text;
+}
+
+std::string fromBase64(const std::string &Text) {
+  std::string Bytes(Text.size() + 1, '\0');
+  std::size_t Length = Bytes.size();
+  if (!o_base64_decode(
+          reinterpret_cast<const unsigned char *>(Text.data()), Text.size(),
+          reinterpret_cast<unsigned char *>(Bytes.data()), &Length))
+    throw std::invalid_argument("not base64");
+  Bytes.resize(Length);
+  return Bytes;
+}
+
+std::uint64_t toNumber(const std::string &Text) {
+  std::uint64_t Number = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Number);
+  return Number;
+}
+
+RowKey keyOf(const Json &Row) {
+  return {Row.at("table").get<std::string>(), Row.at("key").get<std::string>()};
+}
+
+Transaction decodeTransaction(const Json &Body) {
+  Transaction Changes;
+  for (const Json &Row : Body.at("expected-revision")) {
+    auto Version = Row.at("ver").get<std::uint64_t>();
+    Changes.m_Conditions.push_back(
+        {keyOf(Row), Version == 0 ? std::nullopt : std::optional(Version)});
+  }
+  for (const Json &Row : Body.at("set-keys"))
+    Changes.m_Writes.push_back(
+        {keyOf(Row), fromBase64(Row.at("value").get<std::string>())});
+  for (const Json &Row : Body.at("remove"))
+    Changes.m_Writes.push_back({keyOf(Row), std::nullopt});
+  return Changes;
+}
+
+Json describe(const RowKey &Key, const std::optional<Row> &Known) {
+  Json Row{{"table", Key.m_Table}, {"part", ""}, {"key", Key.m_Key}};
+  if (!Known) {
+    Row["ver"] = 0;
+    Row["deleted"] = true;
+    return Row;
+  }
+  Row["value"] = toBase64(Known->m_Value);
+  Row["ver"] = Known->m_Version;
+  return Row;
+}
+
 } // namespace
 
 PlatformStandin::PlatformStandin(HttpServer &Server) {
@@ -33,11 +96,11 @@
                    return (this->*Serve)(R);
                  }));
   };
-  Add("POST", "/v1/transactions", &PlatformStandin::transact);
-  Add("GET", "/v1/tables/:table/rows/:key", &PlatformStandin::read);
-  Add("GET", "/v1/tables/:table/rows", &PlatformStandin::scan);
-  Add("PUT", "/v1/objects/:name", &PlatformStandin::put);
-  Add("GET", "/v1/objects/:name", &PlatformStandin::get);
+  Add("POST", "/rows-tx", &PlatformStandin::transact);
+  Add("GET", "/rows-get", &PlatformStandin::read);
+  Add("GET", "/rows-feed", &PlatformStandin::feed);
+  Add("PUT", "/blob-put/:name", &PlatformStandin::put);
+  Add("GET", "/blob-get/:name", &PlatformStandin::get);
   Server.route("POST", "/fault/:mode",
                [this](const HttpRequest &R) { return setFault(R); });
   Server.route("GET", "/counts", [this](const HttpRequest &) {
@@ -62,7 +125,7 @@
       HttpResponse Response = Serve(Request);
       bool IsLost = Now == Fault::ReplyLost && !IsRead;
       return IsLost ? respond(HttpUnavailable) : Response;
-    } catch (const Error &Caught) {
+    } catch (const std::exception &) {
       return respond(HttpBadRequest);
     }
   };
@@ -84,28 +147,56 @@
 }
 
 HttpResponse PlatformStandin::transact(const HttpRequest &Request) {
-  Transaction Changes = decodeTransaction(Request.m_Body);
+  Transaction Changes = decodeTransaction(Json::parse(Request.m_Body));
   std::lock_guard<std::mutex> Lock(m_Mutex);
   TransactionResult Result = m_Store.transact(Changes);
-  if (Result.m_Status == StoreStatus::Conflict)
-    return respond(HttpConflict, encodeConflicts(Result.m_Conflicts));
-  return respond(200);
+  if (Result.m_Status == StoreStatus::Conflict) {
+    Json Rows = Json::array();
+    for (const RowKey &Key : Result.m_Conflicts)
+      Rows.push_back(describe(Key, m_Store.read(Key).m_Row));
+    return respond(HttpConditionFailed, Json{{"rows", Rows}}.dump());
+  }
+  ++m_Version;
+  for (const RowWrite &Written : Changes.m_Writes)
+    m_Changed[Written.m_Row] = m_Version;
+  m_HasChanged.notify_all();
+  return respond(200, Json{{"ver", m_Version}, {"now-ms", 0}}.dump());
 }
 
 HttpResponse PlatformStandin::read(const HttpRequest &Request) {
+  std::string Table = Request.query("table");
+  std::string From = Request.query("from");
+  std::string To = Request.query("to");
   std::lock_guard<std::mutex> Lock(m_Mutex);
-  ReadResult Result =
-      m_Store.read({Request.path("table"), Request.path("key")});
-  if (!Result.m_Row)
-    return respond(HttpNotFound);
-  return respond(200, encodeRow(*Result.m_Row));
+  Json Rows = Json::array();
+  for (const KeyedRow &Known : m_Store.scan(Table, "").m_Rows)
+    if (Known.m_Key >= From && (To.empty() || Known.m_Key < To))
+      Rows.push_back(describe({Table, Known.m_Key}, Known.m_Row));
+  return respond(200, Json{{"rows", Rows},
+                           {"has-more", false},
+                           {"ver", m_Version},
+                           {"now-ms", 0}}
+                          .dump());
 }
 
-HttpResponse PlatformStandin::scan(const HttpRequest &Request) {
-  std::lock_guard<std::mutex> Lock(m_Mutex);
-  ScanResult Result =
-      m_Store.scan(Request.path("table"), Request.query("prefix"));
-  return respond(200, encodeRows(Result.m_Rows));
+HttpResponse PlatformStandin::feed(const HttpRequest &Request) {
+  std::string Table = Request.query("table");
+  std::uint64_t After = toNumber(Request.query("after"));
+  auto Wait = milliseconds(toNumber(Request.query("wait-ms")));
+  auto Changed = [&] {
+    return std::any_of(
+        m_Changed.begin(), m_Changed.end(), [&](const auto &Known) {
+          return Known.first.m_Table == Table && Known.second > After;
+        });
+  };
+  std::unique_lock<std::mutex> Lock(m_Mutex);
+  m_HasChanged.wait_for(Lock, Wait, Changed);
+  Json Rows = Json::array();
+  for (const auto &Known : m_Changed)
+    if (Known.first.m_Table == Table && Known.second > After)
+      Rows.push_back(describe(Known.first, m_Store.read(Known.first).m_Row));
+  return respond(
+      200, Json{{"rows", Rows}, {"ver", m_Version}, {"now-ms", 0}}.dump());
 }
 
 HttpResponse PlatformStandin::put(const HttpRequest &Request) {
--- a/standins/platform/platformstandin.h
+++ b/standins/platform/platformstandin.h
@@ -2,14 +2,16 @@
 #define CYCLAMENWALK_STANDINS_PLATFORM_PLATFORMSTANDIN_H
 
 #include "http/httpserver.h"
-#include "platform/memorystore.h"
+#include "store/memorystore.h"
 
 #include <atomic>
+#include <condition_variable>
+#include <map>
 #include <mutex>
 
 namespace cyclamenwalk {
 
-/// The platform's table service and object store in memory, with faults that
+/// The platform's store of rows and objects in memory, with faults that
 /// tests switch on and off over HTTP.
 class PlatformStandin {
 public:
@@ -23,12 +25,17 @@
   HttpResponse setFault(const HttpRequest &Request);
   HttpResponse transact(const HttpRequest &Request);
   HttpResponse read(const HttpRequest &Request);
-  HttpResponse scan(const HttpRequest &Request);
+  HttpResponse feed(const HttpRequest &Request);
   HttpResponse put(const HttpRequest &Request);
   HttpResponse get(const HttpRequest &Request);
 
   std::mutex m_Mutex;
   MemoryStore m_Store;
+  /// Counts the transactions that took effect.
+  std::uint64_t m_Version = 0;
+  /// In which of them each row was written or removed last.
+  std::map<RowKey, std::uint64_t> m_Changed;
+  std::condition_variable m_HasChanged;
   std::atomic<Fault> m_Fault = Fault::None;
   std::atomic<std::uint64_t> m_Reads = 0;
   std::atomic<std::uint64_t> m_Writes = 0;
