--- a/packages/batch/internal/batchservice.cpp
+++ b/packages/batch/internal/batchservice.cpp
@@ -235,13 +235,12 @@
     ByAgent[*Next++].push_back(&Known);
   }
   for (auto &Known : ByAgent)
-    sendTo(Known.first, Owner, Wanted, Plan.m_LongestWait,
-           std::move(Known.second));
+    sendTo(Known.first, Owner, Wanted, Plan.m_LongestWait, Known.second);
 }
 
 void BatchService::sendTo(Incarnation Agent, BatchJob &Owner,
                           const PlacementJob &Wanted, Duration Wait,
-                          std::vector<BatchTask *> Chosen) {
+                          const std::vector<BatchTask *> &Chosen) {
   PlaceTasks Body;
   Body.m_Job = Owner.m_Id;
   Body.m_Name = Owner.m_Spec.m_BackendName;
--- a/packages/batch/internal/batchservice.h
+++ b/packages/batch/internal/batchservice.h
@@ -39,7 +39,7 @@
   void sendPlan(BatchJob &Owner, const PlacementJob &Wanted,
                 const PlacementPlan &Plan);
   void sendTo(Incarnation Agent, BatchJob &Owner, const PlacementJob &Wanted,
-              Duration Wait, std::vector<BatchTask *> Chosen);
+              Duration Wait, const std::vector<BatchTask *> &Chosen);
   void placeRest(BatchJob &Owner);
 
   void receiveHopeless(Incarnation Agent, const TaskHopeless &Late);
--- a/packages/core/types/time.h
+++ b/packages/core/types/time.h
@@ -14,7 +14,9 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<Clock>;
-  static constexpr bool is_steady = true;
+  // The standard library asks for this name.
+  static constexpr bool is_steady =
+      true; // NOLINT(readability-identifier-naming)
 
   static time_point now() noexcept {
     std::timespec Value{};
