--- a/packages/batch/internal/batchservice.cpp
+++ b/packages/batch/internal/batchservice.cpp
@@ -144,6 +144,8 @@
             {"wait_ms", toMilliseconds(Plan.m_LongestWait)},
             {"start_within_ms", toMilliseconds(Wanted.m_StartWithin)},
             {"slack_percent", static_cast<int>(Percent * m_SlackShare)},
+            {"report_age_ms",
+             toMilliseconds(m_Workers.oldestReport(Added.m_Spec.m_Service))},
             {"finish_ms", toMilliseconds(Plan.m_Finish)}});
   if (IsInTime)
     sendPlan(Added, Wanted, Plan);
--- a/packages/batch/internal/workertable.cpp
+++ b/packages/batch/internal/workertable.cpp
@@ -129,6 +129,14 @@
   return Views;
 }
 
+Duration WorkerTable::oldestReport(const std::string &Service) const {
+  Duration Oldest{};
+  for (const auto &Known : m_Workers)
+    if (isUsable(Known.second, Service))
+      Oldest = std::max(Oldest, m_Timers.now() - Known.second.m_ReportedAt);
+  return Oldest;
+}
+
 Duration WorkerTable::biasOf(Incarnation Agent) const {
   std::uint64_t Mixed = (Agent.m_Value ^ m_Own.m_Value) * HashFactor;
   return BiasStep * static_cast<Duration::rep>(Mixed >> HashShift);
--- a/packages/batch/internal/workertable.h
+++ b/packages/batch/internal/workertable.h
@@ -35,6 +35,9 @@
 
   bool hasAccepting() const;
 
+  /// The age of the oldest report among the workers that take tasks.
+  Duration oldestReport(const std::string &Service) const;
+
   /// The share of cores in use at the workers that take tasks.
   double usedShare(const std::string &Service) const;
 
--- a/packages/worker/internal/backendsession.cpp
+++ b/packages/worker/internal/backendsession.cpp
@@ -418,7 +418,10 @@
 
 void BackendSession::checkHopeless(Run &Known) {
   Duration Elapsed = m_Timers.now() - Known.m_StartedAt;
-  if (Known.m_IsHopeless || Elapsed < ProgressFrom)
+  // One that stands still may do better elsewhere.
+  bool IsStill = Known.m_ProgressPercent == 0 ||
+                 Known.m_ProgressAt - Known.m_GrewAt >= LeastStall / 2;
+  if (Known.m_IsHopeless || IsStill || Elapsed < ProgressFrom)
     return;
   // Progress is rounded down, so the run may be a step further.
   Duration Left =
--- a/packages/worker/tests/workerservice_test.cpp
+++ b/packages/worker/tests/workerservice_test.cpp
@@ -299,6 +299,19 @@
   EXPECT_EQ(m_Links.sent<TaskHopeless>().size(), 1u);
 }
 
+TEST_F(WorkerServiceTest, ARunThatStandsStillDoesNotEndItsJob) {
+  serve();
+  place(placement(1));
+  m_Timers.advance(milliseconds(110));
+  m_Control.answerHolds();
+  m_Timers.advance(milliseconds(130));
+  m_Control.answerHolds();
+  EXPECT_TRUE(m_Links.sent<TaskHopeless>().empty());
+  m_Timers.advance(milliseconds(20));
+  m_Control.answerHolds();
+  EXPECT_EQ(m_Control.m_Stops.size(), 1u);
+}
+
 TEST_F(WorkerServiceTest, AServerThatFailsEachRunRests) {
   serve();
   for (std::uint64_t Job = 1; Job <= 4; ++Job) {
