--- a/packages/agent/internal/agentprogram.cpp
+++ b/packages/agent/internal/agentprogram.cpp
@@ -229,10 +229,7 @@
     if (m_Process.m_Platform.empty())
       return;
     m_Store->scan("entries", "", [this](const ScanResult &Result) {
-      std::vector<EntryAddress> Found;
-      for (const KeyedRow &Known : Result.m_Rows)
-        if (auto Row = entryRowCodec().m_Decode(Known.m_Row.m_Value))
-          Found.push_back(Row->m_Address);
+      auto Found = decodeEntryRows(Result);
       if (!Found.empty())
         m_Selection->offer(std::move(Found));
     });
--- a/packages/batch/internal/batchservice.cpp
+++ b/packages/batch/internal/batchservice.cpp
@@ -18,24 +18,6 @@
 /// Part of the expected run time below which hardly any task ends.
 constexpr double LeastRunPart = 0.4;
 
-Duration scaled(Duration Span, double Factor) {
-  return Duration(
-      static_cast<Duration::rep>(static_cast<double>(Span.count()) * Factor));
-}
-
-Metric metricOf(ResultCode Code) {
-  switch (outcomeOf(Code)) {
-  case Outcome::Succeeded:
-    return Metric::JobsSucceeded;
-  case Outcome::DidNotRun:
-    return Metric::JobsRefused;
-  case Outcome::OutcomeUnknown:
-    return Metric::JobsUnknown;
-  default:
-    return Metric::JobsFailed;
-  }
-}
-
 BatchTaskEvent eventOf(RunEnd How) {
   switch (How) {
   case RunEnd::Succeeded:
--- /dev/null
+++ b/packages/core/internal/metric.cpp
@@ -0,0 +1,18 @@
+#include "core/types/metric.h"
+
+namespace cyclamenwalk {
+
+Metric metricOf(ResultCode Code) {
+  switch (outcomeOf(Code)) {
+  case Outcome::Succeeded:
+    return Metric::JobsSucceeded;
+  case Outcome::DidNotRun:
+    return Metric::JobsRefused;
+  case Outcome::OutcomeUnknown:
+    return Metric::JobsUnknown;
+  default:
+    return Metric::JobsFailed;
+  }
+}
+
+} // namespace cyclamenwalk
--- a/packages/core/types/metric.h
+++ b/packages/core/types/metric.h
@@ -1,6 +1,8 @@
 #ifndef CYCLAMENWALK_CORE_TYPES_METRIC_H
 #define CYCLAMENWALK_CORE_TYPES_METRIC_H
 
+#include "core/types/resultcode.h"
+
 #include <cstddef>
 
 namespace cyclamenwalk {
@@ -39,6 +41,9 @@
   Count
 };
 
+/// Under which a job that ended with \p Code is counted.
+Metric metricOf(ResultCode Code);
+
 /// What the processes measure as latency.
 enum class Timing : std::size_t {
   /// From the submission of a batch job to its answer.
--- a/packages/core/types/time.h
+++ b/packages/core/types/time.h
@@ -38,6 +38,12 @@
   return std::chrono::duration_cast<milliseconds>(Span).count();
 }
 
+/// \p Span times \p Factor.
+inline Duration scaled(Duration Span, double Factor) {
+  return Duration(
+      static_cast<Duration::rep>(static_cast<double>(Span.count()) * Factor));
+}
+
 } // namespace cyclamenwalk
 
 #endif // CYCLAMENWALK_CORE_TYPES_TIME_H
--- a/packages/job/internal/jobservice.cpp
+++ b/packages/job/internal/jobservice.cpp
@@ -35,19 +35,6 @@
                                                     : TaskEvent::Failed;
 }
 
-Metric metricOf(ResultCode Code) {
-  switch (outcomeOf(Code)) {
-  case Outcome::Succeeded:
-    return Metric::JobsSucceeded;
-  case Outcome::DidNotRun:
-    return Metric::JobsRefused;
-  case Outcome::OutcomeUnknown:
-    return Metric::JobsUnknown;
-  default:
-    return Metric::JobsFailed;
-  }
-}
-
 } // namespace
 
 JobService::JobService(Incarnation Own, JobSettings Settings, PolicyHooks Hooks,
--- a/packages/policy/internal/placement.cpp
+++ b/packages/policy/internal/placement.cpp
@@ -26,11 +26,6 @@
 /// Keeps apart workers that would finish at the same time: the emptier wins.
 constexpr Duration LoadTieBreak = milliseconds(10);
 
-Duration scaled(Duration Span, double Factor) {
-  return Duration(
-      static_cast<Duration::rep>(static_cast<double>(Span.count()) * Factor));
-}
-
 double usedShare(const PlacementWorker &Worker) {
   auto Capacity = static_cast<double>(Worker.m_Capacity.m_MilliCores);
   auto Free = static_cast<double>(Worker.m_Free.m_MilliCores);
--- a/packages/rowcodec/internal/rowcodecs.cpp
+++ b/packages/rowcodec/internal/rowcodecs.cpp
@@ -98,6 +98,14 @@
   return {Encode, Decode};
 }
 
+std::vector<EntryAddress> decodeEntryRows(const ScanResult &Found) {
+  std::vector<EntryAddress> Entries;
+  for (const KeyedRow &Known : Found.m_Rows)
+    if (auto Row = entryRowCodec().m_Decode(Known.m_Row.m_Value))
+      Entries.push_back(Row->m_Address);
+  return Entries;
+}
+
 std::string encodeEntries(const std::vector<EntryAddress> &Entries) {
   Json List = Json::array();
   for (const EntryAddress &Value : Entries)
--- a/packages/rowcodec/rowcodecs.h
+++ b/packages/rowcodec/rowcodecs.h
@@ -4,6 +4,7 @@
 #include "configuration/types/head.h"
 #include "membership/types/entryrow.h"
 #include "request/types/submission.h"
+#include "store/types/table.h"
 
 #include <vector>
 
@@ -14,6 +15,9 @@
 RecordCodec recordCodec();
 ClaimRowCodec claimRowCodec();
 
+/// The entries whose rows a scan found; rows that cannot be read are left out.
+std::vector<EntryAddress> decodeEntryRows(const ScanResult &Found);
+
 std::string encodeEntries(const std::vector<EntryAddress> &Entries);
 
 /// Empty for what cannot be read.
--- a/standins/platform/platformstandin.cpp
+++ b/standins/platform/platformstandin.cpp
@@ -1,11 +1,10 @@
 #include "platform/platformstandin.h"
 
-#include "core/error.h"
+#include "platform/base64.h"
 
 #include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
-#include <orcania.h>
 #include <thread>
 
 namespace cyclamenwalk {
@@ -30,27 +29,6 @@
 
 using Json = nlohmann::json;
 
-std::string toBase64(const std::string &Bytes) {
-  std::string Text((Bytes.size() + 2) / 3 * 4 + 1, '\0');
-  std::size_t Length = Text.size();
-  o_base64_encode(reinterpret_cast<const unsigned char *>(Bytes.data()),
-                  Bytes.size(), reinterpret_cast<unsigned char *>(Text.data()),
-                  &Length);
-  Text.resize(Length);
-  return Text;
-}
-
-std::string fromBase64(const std::string &Text) {
-  std::string Bytes(Text.size() + 1, '\0');
-  std::size_t Length = Bytes.size();
-  if (!o_base64_decode(
-          reinterpret_cast<const unsigned char *>(Text.data()), Text.size(),
-          reinterpret_cast<unsigned char *>(Bytes.data()), &Length))
-    throw std::invalid_argument("not base64");
-  Bytes.resize(Length);
-  return Bytes;
-}
-
 std::uint64_t toNumber(const std::string &Text) {
   std::uint64_t Number = 0;
   std::from_chars(Text.data(), Text.data() + Text.size(), Number);
