Test the platform's programs as separate processes, with a runner stand-in

The stand-in speaks the runner's page and counts runs of one task that overlap. Covered: a job served, an agent killed, an entry paused and resumed, an entry stopped with SIGTERM while it has a job.

--- a/packages/core/types/time.h
+++ b/packages/core/types/time.h
@@ -15,8 +15,8 @@
   using period = duration::period;
   using time_point = std::chrono::time_point<Clock>;
   // The standard library asks for this name.
-  static constexpr bool is_steady =
-      true; // NOLINT(readability-identifier-naming)
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  static constexpr bool is_steady = true;
 
   static time_point now() noexcept {
     std::timespec Value{};
--- /dev/null
+++ b/standins/runner/runnerstandin.cpp
@@ -0,0 +1,202 @@
+#include "runner/runnerstandin.h"
+
+#include "http/blockinghttp.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace cyclamenwalk {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Duration TimerStep = milliseconds(5);
+constexpr Duration HeartbeatPeriod = milliseconds(500);
+constexpr Duration LongestLease = milliseconds(1000);
+constexpr int HttpConflict = 409;
+
+HttpResponse respond(int Status, const Json &Body) {
+  HttpResponse Response;
+  Response.m_Status = Status;
+  Response.m_Body = Body.dump();
+  return Response;
+}
+
+} // namespace
+
+void RunWatch::begin(const std::string &Task) {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  ++m_Starts;
+  if (++m_Running[Task] > 1)
+    ++m_Overlaps;
+}
+
+void RunWatch::end(const std::string &Task) {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  --m_Running[Task];
+}
+
+int RunWatch::overlaps() const {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  return m_Overlaps;
+}
+
+int RunWatch::starts() const {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  return m_Starts;
+}
+
+RunnerStandin::RunnerStandin(RunnerForm Form, RunWatch &Watch)
+    : m_Form(std::move(Form)), m_Watch(Watch), m_Server({m_Form.m_Listen}) {
+  m_Server.route("POST", "/run-start",
+                 [this](const HttpRequest &R) { return start(R); });
+  m_Server.route("POST", "/run-stop",
+                 [this](const HttpRequest &R) { return stop(R); });
+  m_Server.route("POST", "/hold",
+                 [this](const HttpRequest &R) { return hold(R); });
+  m_Server.start();
+  m_Timer = std::thread([this] { runTimes(); });
+  m_Heartbeats = std::thread([this] { beat(); });
+}
+
+RunnerStandin::~RunnerStandin() {
+  {
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    m_IsEnding = true;
+  }
+  m_Changed.notify_all();
+  m_Timer.join();
+  m_Heartbeats.join();
+  m_Server.stop(seconds(3));
+}
+
+std::int64_t RunnerStandin::clock() const {
+  return toMilliseconds(Clock::now() - m_BornAt);
+}
+
+bool RunnerStandin::takeToken(std::uint64_t Token) {
+  m_Token = std::max(m_Token, Token);
+  return Token == m_Token;
+}
+
+void RunnerStandin::extendLease(std::int64_t UntilClock) {
+  TimePoint Until = m_BornAt + milliseconds(UntilClock);
+  m_LeaseUntil =
+      std::max(m_LeaseUntil, std::min(Until, Clock::now() + LongestLease));
+}
+
+HttpResponse RunnerStandin::start(const HttpRequest &Request) {
+  Json Body = Json::parse(Request.m_Body);
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  Json Told{{"clock-ms", clock()}};
+  std::string Task = Body.at("task");
+  std::uint32_t Number = Body.at("run");
+  if (!takeToken(Body.at("fencing-token"))) {
+    Told["reason"] = "fence";
+    return respond(HttpConflict, Told);
+  }
+  if (Number <= m_Highest[Task] || m_Running.count(Task) > 0) {
+    Told["reason"] = "old";
+    return respond(HttpConflict, Told);
+  }
+  extendLease(Body.at("deadline-ms"));
+  TimePoint Now = Clock::now();
+  auto Length = milliseconds(std::stoi(Body.at("spec").get<std::string>()));
+  m_Running[Task] = {Number, Now, Now + Length};
+  m_Watch.begin(Task);
+  return respond(200, Told);
+}
+
+HttpResponse RunnerStandin::stop(const HttpRequest &Request) {
+  Json Body = Json::parse(Request.m_Body);
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  std::string Task = Body.at("task");
+  bool IsMeant = takeToken(Body.at("fencing-token")) &&
+                 m_Running.count(Task) > 0 &&
+                 m_Running[Task].m_Number == Body.at("run");
+  if (IsMeant)
+    finish(Task, "stopped");
+  return respond(200, {{"clock-ms", clock()}});
+}
+
+HttpResponse RunnerStandin::hold(const HttpRequest &Request) {
+  Json Body = Json::parse(Request.m_Body);
+  std::unique_lock<std::mutex> Lock(m_Mutex);
+  if (!takeToken(Body.at("fencing-token")))
+    return respond(HttpConflict, {{"clock-ms", clock()}, {"reason", "fence"}});
+  if (Body.contains("deadline-ms"))
+    extendLease(Body["deadline-ms"]);
+  std::uint64_t Seen = Body.at("last-seen");
+  std::erase_if(m_Ended,
+                [Seen](const End &Known) { return Known.m_Number <= Seen; });
+  m_Changed.wait_for(Lock, milliseconds(Body.value("wait-ms", 0)),
+                     [this] { return m_IsEnding || !m_Ended.empty(); });
+  Json Running = Json::array();
+  for (const auto &Known : m_Running) {
+    auto Whole = Known.second.m_EndsAt - Known.second.m_StartedAt;
+    auto Done = Clock::now() - Known.second.m_StartedAt;
+    Running.push_back({Known.first, Known.second.m_Number, "",
+                       Done * 100 / std::max<Duration>(Whole, Duration(1))});
+  }
+  Json Ended = Json::array();
+  for (const End &Known : m_Ended)
+    Ended.push_back(
+        {Known.m_Number, Known.m_Task, Known.m_Run, Known.m_How, ""});
+  return respond(
+      200, {{"clock-ms", clock()}, {"running", Running}, {"finished", Ended}});
+}
+
+void RunnerStandin::finish(const std::string &Task, const char *How) {
+  Run Over = m_Running.at(Task);
+  m_Running.erase(Task);
+  m_Highest[Task] = Over.m_Number;
+  m_Ended.push_back({++m_LastEnd, Task, Over.m_Number, How});
+  m_Watch.end(Task);
+  m_Changed.notify_all();
+}
+
+void RunnerStandin::runTimes() {
+  std::unique_lock<std::mutex> Lock(m_Mutex);
+  while (!m_IsEnding) {
+    m_Changed.wait_for(Lock, TimerStep);
+    endDue(Clock::now());
+  }
+}
+
+void RunnerStandin::endDue(TimePoint Now) {
+  std::vector<std::pair<std::string, const char *>> Due;
+  for (const auto &Known : m_Running) {
+    if (Now >= m_LeaseUntil)
+      Due.emplace_back(Known.first, "lapsed");
+    else if (Now >= Known.second.m_EndsAt)
+      Due.emplace_back(Known.first, "done");
+  }
+  for (const auto &Known : Due)
+    finish(Known.first, Known.second);
+}
+
+void RunnerStandin::beat() {
+  std::unique_lock<std::mutex> Lock(m_Mutex);
+  while (!m_IsEnding) {
+    HttpRequest Request;
+    Request.m_Method = "POST";
+    Request.m_Url =
+        "http://" + m_Form.m_Agent + "/Instances.Heartbeat/" + m_Form.m_Id;
+    Request.m_Body = Json{
+        {"service", m_Form.m_Service},
+        {"address", m_Form.m_Listen},
+        {"state", "ready"},
+        {"capacity", {{"cpu", 16000}, {"mem-mb", 32768}, {"gpu", 0}}},
+        {"labels", {"a", "r1"}},
+        {"clock-ms", clock()},
+        {"sequence",
+         ++m_Sequence}}.dump();
+    Lock.unlock();
+    callHttp(Request, seconds(1));
+    Lock.lock();
+    m_Changed.wait_for(Lock, HeartbeatPeriod, [this] { return m_IsEnding; });
+  }
+}
+
+} // namespace cyclamenwalk
--- /dev/null
+++ b/tests/integration/platform_test.cpp
@@ -0,0 +1,202 @@
+#include "http/blockinghttp.h"
+#include "platform/base64.h"
+#include "runner/runnerstandin.h"
+#include "support/childprocess.h"
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+using namespace cyclamenwalk;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr int BasePort = 22400;
+constexpr int StorePort = BasePort + 90;
+constexpr int AgentPort = BasePort + 10;
+constexpr int RunnerPort = BasePort + 50;
+constexpr int MetricsPort = BasePort + 70;
+constexpr Duration ReadyLimit = seconds(20);
+constexpr Duration PollStep = milliseconds(50);
+
+std::string address(int Port) { return "127.0.0.1:" + std::to_string(Port); }
+
+/// The programs of the platform as separate processes: a store, one entry, and
+/// agents with runners inside the test.
+class PlatformTest : public testing::Test {
+protected:
+  PlatformTest() {
+    std::string Pattern =
+        (std::filesystem::temp_directory_path() / "platform-XXXXXX").string();
+    m_Folder = mkdtemp(Pattern.data());
+    m_Store = start(
+        {std::string(CW_BINARY_DIR) + "/standin-platform", address(StorePort)},
+        "store", "");
+    waitUntil([this] { return writeConfiguration(); });
+    m_Entry = startSite("entry", 0);
+    for (int I = 0; I < Agents; ++I) {
+      m_Agents.push_back(startSite("agent", I));
+      m_Runners.push_back(std::make_unique<RunnerStandin>(
+          RunnerForm{"i-" + std::to_string(I), address(RunnerPort + I),
+                     address(AgentPort + I)},
+          m_Watch));
+    }
+    waitUntil([this] { return isReady(); });
+  }
+
+  ~PlatformTest() override { std::filesystem::remove_all(m_Folder); }
+
+  static constexpr int Agents = 2;
+
+  std::unique_ptr<ChildProcess> start(const std::vector<std::string> &Command,
+                                      const std::string &Name,
+                                      const std::string &Settings) {
+    if (!Settings.empty())
+      setenv("CYCLAMENWALK_SETTINGS", Settings.c_str(), 1);
+    return std::make_unique<ChildProcess>(Command,
+                                          m_Folder + "/" + Name + ".log");
+  }
+
+  std::unique_ptr<ChildProcess> startSite(const std::string &Role, int Index) {
+    bool IsEntry = Role == "entry";
+    std::string Name = Role + "-" + std::to_string(Index);
+    std::string File = m_Folder + "/" + Name + ".ini";
+    int Calls = IsEntry ? BasePort : AgentPort + Index;
+    int Messages = IsEntry ? BasePort + 1 : AgentPort + 20 + Index;
+    std::ofstream Out(File);
+    Out << "[process]\nname = " << Name
+        << "\nfailure_domain = z\ncharts = " << CW_CHART_DIR
+        << "\n[listen]\nmessages = " << address(Messages)
+        << "\ncalls = " << address(Calls)
+        << "\nmetrics = " << address(MetricsPort + (IsEntry ? 0 : 1 + Index))
+        << "\n";
+    if (IsEntry)
+      Out << "readiness = " << address(BasePort + 2) << "\n";
+    Out << "[entries]\nseeds = " << address(BasePort + 1)
+        << "\n[store]\naddress = " << address(StorePort) << "\n";
+    Out.close();
+    return start({std::string(CW_BINARY_DIR) + "/cyclamenwalk-site", Role},
+                 Name, File);
+  }
+
+  bool writeConfiguration() {
+    Json Route{{"name", "r"},
+               {"host", "127.0.0.1"},
+               {"path-prefix", "/q/"},
+               {"service", "gatepost"},
+               {"max-attempts", 2},
+               {"slack-factor", 1.6},
+               {"target-latency-ms", 60}};
+    Json Whole{{"version", 3},
+               {"routes", {Route}},
+               {"services", {{{"name", "gatepost"}}}}};
+    HttpRequest Request;
+    Request.m_Method = "POST";
+    Request.m_Url = "http://" + address(StorePort) + "/rows-tx";
+    Request.m_Body = Json{
+        {"expected-revision", Json::array()},
+        {"set-keys",
+         {{{"table", "op"},
+           {"part", ""},
+           {"key", "config"},
+           {"value", toBase64(Whole.dump())}}}},
+        {"remove",
+         Json::array()}}.dump();
+    return callHttp(Request, seconds(1)).m_Status == 200;
+  }
+
+  static bool isReady() {
+    HttpRequest Request;
+    Request.m_Url = "http://" + address(BasePort + 2) + "/readyz";
+    return callHttp(Request, seconds(1)).m_Status == 200;
+  }
+
+  template <typename Condition> static void waitUntil(Condition IsTrue) {
+    TimePoint End = Clock::now() + ReadyLimit;
+    while (!IsTrue()) {
+      ASSERT_LT(Clock::now(), End) << "not ready in time";
+      std::this_thread::sleep_for(PollStep);
+    }
+  }
+
+  /// A job of tasks that run for \p Length each.
+  static HttpResponse submit(const std::string &Name, int Tasks,
+                             Duration Length) {
+    auto Milliseconds = toMilliseconds(Length);
+    HttpRequest Request;
+    Request.m_Method = "POST";
+    Request.m_Url = "http://" + address(BasePort) + "/q/" + Name;
+    Request.m_Headers["X-Cyclamenwalk-Deadline-Ms"] = "9000";
+    Request.m_Body = Json{{"spec", std::to_string(Milliseconds)},
+                          {"best-effort", true},
+                          {"steps",
+                           {{{"count", Tasks},
+                             {"cpu", 1000},
+                             {"mem-mb", 16},
+                             {"estimated-ms", Milliseconds}}}}}
+                         .dump();
+    return callHttp(Request, seconds(10));
+  }
+
+  std::string m_Folder;
+  RunWatch m_Watch;
+  std::unique_ptr<ChildProcess> m_Store;
+  std::unique_ptr<ChildProcess> m_Entry;
+  std::vector<std::unique_ptr<ChildProcess>> m_Agents;
+  std::vector<std::unique_ptr<RunnerStandin>> m_Runners;
+};
+
+} // namespace
+
+TEST_F(PlatformTest, aJobIsServedAndUnknownRoutesAreTold) {
+  HttpResponse Answer = submit("00000000000000a1", 8, milliseconds(80));
+  EXPECT_EQ(Answer.m_Status, 200);
+  EXPECT_EQ(Answer.m_Body, R"({"state":"completed"})");
+  EXPECT_EQ(m_Watch.starts(), 8);
+  HttpRequest Elsewhere;
+  Elsewhere.m_Url = "http://" + address(BasePort) + "/other/";
+  EXPECT_EQ(callHttp(Elsewhere, seconds(2)).m_Status, 404);
+}
+
+TEST_F(PlatformTest, aKilledAgentEndsItsJobsAndItsRunsDoNotMeetNewOnes) {
+  auto Waiting = std::async(std::launch::async, [] {
+    return submit("00000000000000b1", 20, seconds(6));
+  });
+  waitUntil([this] { return m_Watch.starts() == 20; });
+  m_Agents[0]->signal(SIGKILL);
+  EXPECT_EQ(Waiting.get().m_Status, 502);
+  // The caller sends the job again later than every lease.
+  std::this_thread::sleep_for(milliseconds(1300));
+  m_Agents[0] = startSite("agent", 0);
+  EXPECT_EQ(submit("00000000000000b1", 6, milliseconds(50)).m_Status, 200);
+  EXPECT_EQ(m_Watch.overlaps(), 0);
+}
+
+TEST_F(PlatformTest, aPausedEntryLosesItsRunsAndServesAgain) {
+  auto Waiting = std::async(std::launch::async, [] {
+    return submit("00000000000000c1", 4, seconds(6));
+  });
+  waitUntil([this] { return m_Watch.starts() == 4; });
+  m_Entry->signal(SIGSTOP);
+  std::this_thread::sleep_for(milliseconds(1500));
+  m_Entry->signal(SIGCONT);
+  EXPECT_NE(Waiting.get().m_Status, 200);
+  waitUntil([] {
+    return submit("00000000000000c2", 2, milliseconds(50)).m_Status == 200;
+  });
+  EXPECT_EQ(m_Watch.overlaps(), 0);
+}
+
+TEST_F(PlatformTest, aStoppedEntryAnswersWhatItHasAccepted) {
+  auto Waiting = std::async(std::launch::async, [] {
+    return submit("00000000000000d1", 4, seconds(1));
+  });
+  waitUntil([this] { return m_Watch.starts() == 4; });
+  m_Entry->signal(SIGTERM);
+  EXPECT_EQ(Waiting.get().m_Status, 200);
+  EXPECT_EQ(m_Entry->wait(seconds(6)), 0);
+}
