--- a/packages/worker/internal/backendcondition.h
+++ b/packages/worker/internal/backendcondition.h
@@ -40,8 +40,6 @@
   /// their own, so each job is counted once.
   void noteEnd(bool HasFailed);
 
-  bool mayStart() const { return m_Context.m_State != ConditionState::Resting; }
-
   /// Runs that may be under way at once.
   std::size_t limit() const;
 
