--- a/packages/batch/internal/batchservice.cpp
+++ b/packages/batch/internal/batchservice.cpp
@@ -235,8 +235,10 @@
   Body.m_StartWithin = Wanted.m_StartWithin;
   Body.m_OrderWithin = Wanted.m_OrderWithin;
   bool MayBeSentBack = Owner.m_Placements <= MaxSentBack;
-  Body.m_AcceptedWait = MayBeSentBack ? Wait + m_Settings.m_WaitTolerance
-                                      : Owner.m_Spec.m_Deadline;
+  Duration Tolerated =
+      std::max(Wait + m_Settings.m_WaitTolerance,
+               scaled(Wanted.m_StartWithin, m_Settings.m_ToleratedSlackShare));
+  Body.m_AcceptedWait = MayBeSentBack ? Tolerated : Owner.m_Spec.m_Deadline;
   Body.m_Remaining = Owner.m_DeadlineAt - m_Timers.now();
   for (BatchTask *Known : Chosen) {
     m_TaskChart.fire(*Known, BatchTaskEvent::Place);
--- a/packages/http/httpserver.h
+++ b/packages/http/httpserver.h
@@ -45,6 +45,10 @@
   void watch(const HttpRequest &Request, std::function<void()> Departed);
   void unwatch(const HttpRequest &Request);
 
+  /// Whether the caller of \p Request, which is being handled, has closed its
+  /// connection. Does not wait; may be called from any thread.
+  bool hasDeparted(const HttpRequest &Request) const;
+
   /// Handlers that are running now.
   std::size_t running() const;
 
--- a/packages/http/internal/departurewatch.cpp
+++ b/packages/http/internal/departurewatch.cpp
@@ -62,6 +62,15 @@
     m_Watched.erase(Found->second);
 }
 
+bool DepartureWatch::hasDeparted(const std::string &Connection) {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  auto Found = m_Sockets.find(Connection);
+  if (Found == m_Sockets.end())
+    return true;
+  pollfd Asked{Found->second, POLLRDHUP, 0};
+  return poll(&Asked, 1, 0) > 0;
+}
+
 void DepartureWatch::notify(int Socket) {
   Departed Hook;
   {
--- a/packages/http/internal/departurewatch.h
+++ b/packages/http/internal/departurewatch.h
@@ -27,6 +27,9 @@
   void watch(const std::string &Connection, Departed Hook);
   void unwatch(const std::string &Connection);
 
+  /// Whether the caller has closed the connection by now.
+  bool hasDeparted(const std::string &Connection);
+
 private:
   void run();
   void wake();
--- a/packages/http/internal/httpserver.cpp
+++ b/packages/http/internal/httpserver.cpp
@@ -127,6 +127,10 @@
     m_Departures.unwatch(Request.m_Connection);
   }
 
+  bool hasDeparted(const HttpRequest &Request) {
+    return m_Departures.hasDeparted(Request.m_Connection);
+  }
+
   void start() {
     auto IdleSeconds =
         std::chrono::duration_cast<seconds>(m_Settings.m_IdleLimit).count();
@@ -262,6 +266,9 @@
 void HttpServer::unwatch(const HttpRequest &Request) {
   m_Impl->unwatch(Request);
 }
+bool HttpServer::hasDeparted(const HttpRequest &Request) const {
+  return m_Impl->hasDeparted(Request);
+}
 void HttpServer::start() { m_Impl->start(); }
 std::size_t HttpServer::running() const { return m_Impl->running(); }
 void HttpServer::closeConnections() { m_Impl->closeConnections(); }
--- a/packages/http/tests/http_test.cpp
+++ b/packages/http/tests/http_test.cpp
@@ -125,6 +125,27 @@
   Loop.run();
 }
 
+TEST(Http, aCallerThatHasLeftIsNoticedWithoutAWatch) {
+  HttpServer Server = makeServer();
+  ControlLoop Loop;
+  Server.route("GET", "/late", [&](const HttpRequest &Request) {
+    EXPECT_FALSE(Server.hasDeparted(Request));
+    std::promise<void> Left;
+    Server.watch(Request, [&Left] { Left.set_value(); });
+    Left.get_future().wait();
+    Server.unwatch(Request);
+    EXPECT_TRUE(Server.hasDeparted(Request));
+    Loop.post([&Loop] { Loop.stop(); });
+    return HttpResponse();
+  });
+  Server.start();
+  MultiplexHttp Client(MultiplexSettings{}, Loop);
+  HttpRequest Late;
+  Late.m_Url = Base + "/late";
+  Client.send(Late, milliseconds(100), [](const HttpResponse &) {});
+  Loop.run();
+}
+
 TEST(Http, refusesAddressesThatCannotBeListenedOn) {
   EXPECT_THROW(HttpServer({"localhost:1"}), Error);
   EXPECT_THROW(HttpServer({"127.0.0.1:0"}), Error);
--- a/packages/membership/internal/links.cpp
+++ b/packages/membership/internal/links.cpp
@@ -27,8 +27,13 @@
       {{"isLapsed", [this](const Link &L) { return isLapsed(L); }},
        {"isQuiet", [this](const Link &L) { return isQuiet(L); }},
        {"isRedialDue", [this](const Link &L) { return isRedialDue(L); }},
+       {"isGreetingDue",
+        [this](const Link &L) {
+          return m_Timers.now() - L.m_DialledAt >= m_Settings.m_GreetAnewAfter;
+        }},
        {"owesWord", [this](const Link &L) { return owesWord(L); }}},
       {{"sendHello", [this](Link &L) { sendHello(L, false); }},
+       {"greetAnew", [this](Link &L) { greetAnew(L); }},
        {"repeatReply",
         [this](Link &L) {
           if (L.m_ConnectAddress.empty())
@@ -286,6 +291,14 @@
   transmit(Known, makeEnvelope(Known, std::move(Body)));
 }
 
+/// A connection that is not made yet may wait for long before it is tried
+/// again.
+void Links::greetAnew(Link &Known) {
+  Known.m_DialledAt = m_Timers.now();
+  m_Transport.redial(Known.m_Channel);
+  sendHello(Known, false);
+}
+
 void Links::sendHeartbeat(Link &Known, bool HearsNothing) {
   m_Metrics.count(Metric::HeartbeatsSent);
   transmit(Known, makeEnvelope(Known, Heartbeat{HearsNothing, HearsNothing}));
--- a/packages/membership/internal/links.h
+++ b/packages/membership/internal/links.h
@@ -49,6 +49,7 @@
   Envelope makeEnvelope(const Link &Known, Message Body) const;
   void transmit(Link &Known, Envelope Value);
   void sendHello(Link &Known, bool IsReply);
+  void greetAnew(Link &Known);
   void sendHeartbeat(Link &Known, bool HearsNothing);
   void redial(Link &Known);
   void resend(Link &Known);
--- a/packages/membership/tests/links_test.cpp
+++ b/packages/membership/tests/links_test.cpp
@@ -29,6 +29,18 @@
   EXPECT_EQ(Pair.m_Agent.m_Ups, 1);
 }
 
+TEST(Links, aPeerThatIsNotThereYetIsDialledAnew) {
+  LinkPair Pair;
+  Pair.m_Agent.m_Wire.m_Loses = [](const Envelope &) { return true; };
+  Pair.m_Agent.m_Links.connect(Pair.m_Entry.m_Self.m_Address);
+  Pair.advance(seconds(2));
+  // One dial in each period of LinkSettings::m_GreetAnewAfter.
+  EXPECT_GE(Pair.m_Agent.m_Wire.m_Redials, 3);
+  Pair.m_Agent.m_Wire.m_Loses = nullptr;
+  Pair.advance(milliseconds(500));
+  EXPECT_EQ(Pair.m_Agent.m_Ups, 1);
+}
+
 TEST(Links, unansweredAddressIsReported) {
   LinkPair Pair;
   Pair.m_Agent.m_Links.connect("127.0.0.1:1");
--- a/packages/membership/types/peer.h
+++ b/packages/membership/types/peer.h
@@ -34,6 +34,9 @@
   /// A fresh connection replaces one on which a message was not acknowledged,
   /// or nothing arrived, for this time.
   Duration m_RedialAfter = milliseconds(1500);
+  /// While the peer has not replied at all, it is dialled anew this often, as
+  /// it may just have been started.
+  Duration m_GreetAnewAfter = milliseconds(500);
   /// The link is down when nothing was heard for this time.
   Duration m_Lease = seconds(6);
   /// Messages awaiting acknowledgement beyond which the link is down.
--- a/packages/worker/internal/backendsession.cpp
+++ b/packages/worker/internal/backendsession.cpp
@@ -96,6 +96,8 @@
   logEvent(LogLevel::Info, "backend.found",
            {{"instance", m_Said.m_Instance},
             {"service", m_Said.m_Service},
+            {"kind", m_Said.m_Kind},
+            {"rack", m_Said.m_Rack},
             {"millicores", m_Said.m_Capacity.m_MilliCores},
             {"memory_mb", m_Said.m_Capacity.m_MemoryMb},
             {"token", m_Server.token()}});
--- a/standins/runner/runnerstandin.cpp
+++ b/standins/runner/runnerstandin.cpp
@@ -14,6 +14,7 @@
 constexpr Duration TimerStep = milliseconds(5);
 constexpr Duration HeartbeatPeriod = milliseconds(500);
 constexpr Duration LongestLease = milliseconds(1000);
+constexpr int HttpOk = 200;
 constexpr int HttpConflict = 409;
 
 HttpResponse respond(int Status, const Json &Body) {
@@ -25,16 +26,16 @@
 
 } // namespace
 
-void RunWatch::begin(const std::string &Task) {
+void RunWatch::started(const ObservedRun &Run) {
   std::lock_guard<std::mutex> Lock(m_Mutex);
   ++m_Starts;
-  if (++m_Running[Task] > 1)
+  if (++m_Running[Run.m_Task] > 1)
     ++m_Overlaps;
 }
 
-void RunWatch::end(const std::string &Task) {
+void RunWatch::ended(const ObservedRun &Run, const std::string &) {
   std::lock_guard<std::mutex> Lock(m_Mutex);
-  --m_Running[Task];
+  --m_Running[Run.m_Task];
 }
 
 int RunWatch::overlaps() const {
@@ -47,7 +48,7 @@
   return m_Starts;
 }
 
-RunnerStandin::RunnerStandin(RunnerForm Form, RunWatch &Watch)
+RunnerStandin::RunnerStandin(RunnerForm Form, IRunObserver &Watch)
     : m_Form(std::move(Form)), m_Watch(Watch), m_Server({m_Form.m_Listen}) {
   m_Server.route("POST", "/run-start",
                  [this](const HttpRequest &R) { return start(R); });
@@ -69,6 +70,29 @@
   m_Timer.join();
   m_Heartbeats.join();
   m_Server.stop(seconds(3));
+  for (const auto &Known : m_Running)
+    m_Watch.ended(observed(Known.first, Known.second), "lost");
+}
+
+void RunnerStandin::setFault(const RunnerFault &Fault, std::uint32_t Seed) {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  m_Fault = Fault;
+  m_Random.seed(Seed);
+}
+
+void RunnerStandin::leave() {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  m_IsLeaving = true;
+  m_Changed.notify_all();
+}
+
+bool RunnerStandin::isHit(double Share) {
+  return std::uniform_real_distribution<double>()(m_Random) < Share;
+}
+
+ObservedRun RunnerStandin::observed(const std::string &Task,
+                                    const Run &Known) const {
+  return {m_Form.m_Id, Task, Known.m_Number, Known.m_Spec};
 }
 
 std::int64_t RunnerStandin::clock() const {
@@ -88,7 +112,9 @@
 
 HttpResponse RunnerStandin::start(const HttpRequest &Request) {
   Json Body = Json::parse(Request.m_Body);
-  std::lock_guard<std::mutex> Lock(m_Mutex);
+  std::unique_lock<std::mutex> Lock(m_Mutex);
+  if (isHit(m_Fault.m_LateShare))
+    m_Changed.wait_for(Lock, m_Fault.m_Late, [this] { return m_IsEnding; });
   Json Told{{"clock-ms", clock()}};
   std::string Task = Body.at("task");
   std::uint32_t Number = Body.at("run");
@@ -102,9 +128,10 @@
   }
   extendLease(Body.at("deadline-ms"));
   TimePoint Now = Clock::now();
-  auto Length = milliseconds(std::stoi(Body.at("spec").get<std::string>()));
-  m_Running[Task] = {Number, Now, Now + Length};
-  m_Watch.begin(Task);
+  std::string Spec = Body.at("spec");
+  Run &Added = m_Running[Task];
+  Added = {Number, Spec, Now, Now + milliseconds(std::stoi(Spec))};
+  m_Watch.started(observed(Task, Added));
   return respond(200, Told);
 }
 
@@ -130,21 +157,27 @@
   std::uint64_t Seen = Body.at("last-seen");
   std::erase_if(m_Ended,
                 [Seen](const End &Known) { return Known.m_Number <= Seen; });
+  if (isHit(m_Fault.m_LateShare))
+    m_Changed.wait_for(Lock, m_Fault.m_Late, [this] { return m_IsEnding; });
   m_Changed.wait_for(Lock, milliseconds(Body.value("wait-ms", 0)),
                      [this] { return m_IsEnding || !m_Ended.empty(); });
   Json Running = Json::array();
   for (const auto &Known : m_Running) {
     auto Whole = Known.second.m_EndsAt - Known.second.m_StartedAt;
     auto Done = Clock::now() - Known.second.m_StartedAt;
+    auto Percent = Done * 100 / std::max<Duration>(Whole, Duration(1));
     Running.push_back({Known.first, Known.second.m_Number, "",
-                       Done * 100 / std::max<Duration>(Whole, Duration(1))});
+                       m_Fault.m_IsHanging ? 0 : Percent});
   }
   Json Ended = Json::array();
   for (const End &Known : m_Ended)
     Ended.push_back(
         {Known.m_Number, Known.m_Task, Known.m_Run, Known.m_How, ""});
   return respond(
-      200, {{"clock-ms", clock()}, {"running", Running}, {"finished", Ended}});
+      200, {{"clock-ms", clock()},
+            {"born", m_Born},
+            {"running", Running},
+            {"finished", Ended}});
 }
 
 void RunnerStandin::finish(const std::string &Task, const char *How) {
@@ -152,7 +185,7 @@
   m_Running.erase(Task);
   m_Highest[Task] = Over.m_Number;
   m_Ended.push_back({++m_LastEnd, Task, Over.m_Number, How});
-  m_Watch.end(Task);
+  m_Watch.ended(observed(Task, Over), How);
   m_Changed.notify_all();
 }
 
@@ -169,8 +202,9 @@
   for (const auto &Known : m_Running) {
     if (Now >= m_LeaseUntil)
       Due.emplace_back(Known.first, "lapsed");
-    else if (Now >= Known.second.m_EndsAt)
-      Due.emplace_back(Known.first, "done");
+    else if (Now >= Known.second.m_EndsAt && !m_Fault.m_IsHanging)
+      Due.emplace_back(Known.first,
+                       isHit(m_Fault.m_FailShare) ? "failed" : "done");
   }
   for (const auto &Known : Due)
     finish(Known.first, Known.second);
@@ -185,17 +219,24 @@
         "http://" + m_Form.m_Agent + "/Instances.Heartbeat/" + m_Form.m_Id;
     Request.m_Body = Json{
         {"service", m_Form.m_Service},
-        {"address", m_Form.m_Listen},
-        {"state", "ready"},
-        {"capacity", {{"cpu", 16000}, {"mem-mb", 32768}, {"gpu", 0}}},
+        {"address",
+         m_Form.m_Announced.empty() ? m_Form.m_Listen : m_Form.m_Announced},
+        {"state", m_IsLeaving ? "draining" : "ready"},
+        {"capacity", {{"cpu", MilliCores}, {"mem-mb", 32768}, {"gpu", 0}}},
         {"labels", {"a", "r1"}},
         {"clock-ms", clock()},
+        {"born", m_Born},
         {"sequence",
          ++m_Sequence}}.dump();
+    bool SaysItLeaves = m_IsLeaving;
     Lock.unlock();
-    callHttp(Request, seconds(1));
+    bool IsHeard = callHttp(Request, seconds(1)).m_Status == HttpOk;
+    if (SaysItLeaves && IsHeard)
+      m_Watch.leaving(m_Form.m_Id);
     Lock.lock();
-    m_Changed.wait_for(Lock, HeartbeatPeriod, [this] { return m_IsEnding; });
+    m_Changed.wait_for(Lock, HeartbeatPeriod, [this, SaysItLeaves] {
+      return m_IsEnding || m_IsLeaving != SaysItLeaves;
+    });
   }
 }
 
--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -40,10 +40,11 @@
     m_Entry = startSite("entry", 0);
     for (int I = 0; I < Agents; ++I) {
       m_Agents.push_back(startSite("agent", I));
-      m_Runners.push_back(std::make_unique<RunnerStandin>(
-          RunnerForm{"i-" + std::to_string(I), address(RunnerPort + I),
-                     address(AgentPort + I)},
-          m_Watch));
+      RunnerForm Form;
+      Form.m_Id = "i-" + std::to_string(I);
+      Form.m_Listen = address(RunnerPort + I);
+      Form.m_Agent = address(AgentPort + I);
+      m_Runners.push_back(std::make_unique<RunnerStandin>(Form, m_Watch));
     }
     waitUntil([this] { return isReady(); });
   }
