--- a/packages/batch/internal/batchservice.cpp
+++ b/packages/batch/internal/batchservice.cpp
@@ -13,11 +13,19 @@
 constexpr std::uint32_t RunJump = 1000;
 constexpr Duration LeastRetryAfter = seconds(1);
 constexpr double Percent = 100;
+constexpr double GreatestLoggedShare = 100;
 /// Placements of a job that agents may send back.
 constexpr std::uint32_t MaxSentBack = 3;
+/// Agents are told of another pace of reports when there are this many times
+/// more of them.
+constexpr double PaceGrowth = 1.25;
 /// Part of the expected run time below which hardly any task ends.
 constexpr double LeastRunPart = 0.4;
 
+int toPercent(double Share) {
+  return static_cast<int>(Percent * std::min(Share, GreatestLoggedShare));
+}
+
 BatchTaskEvent eventOf(RunEnd How) {
   switch (How) {
   case RunEnd::Succeeded:
@@ -107,14 +115,15 @@
   }
   PlacementJob Wanted = describePlacement(Added, Added.m_Spec.m_Tasks);
   PlacementPlan Plan = plan(Added, Wanted);
-  if (Plan.m_Agents.empty()) {
+  if (Plan.m_Tasks.empty()) {
     refuse(Added, ResultCode::NoWorker, LeastRetryAfter);
     return Id;
   }
   bool IsInTime = m_Hooks.m_Admission(
-      {Plan.m_LongestWait, Wanted.m_StartWithin, Added.m_Spec.m_Deadline,
-       Wanted.m_Expected, m_Workers.usedShare(Added.m_Spec.m_Service),
-       m_SlackShare, Added.m_Spec.m_Priority});
+      {Plan.m_LongestWait, Plan.m_SlackUse, Wanted.m_StartWithin,
+       Added.m_Spec.m_Deadline, Wanted.m_Expected,
+       m_Workers.usedShare(Added.m_Spec.m_Service), m_SlackShare,
+       Added.m_Spec.m_Priority});
   logEvent(LogLevel::Info, IsInTime ? "job.admitted" : "job.not_admitted",
            {{"job", Added.m_Spec.m_Name},
             {"route", Added.m_Spec.m_Route},
@@ -124,8 +133,9 @@
             {"estimated_ms", toMilliseconds(Added.m_Spec.m_Estimated)},
             {"deadline_ms", toMilliseconds(Added.m_Spec.m_Deadline)},
             {"wait_ms", toMilliseconds(Plan.m_LongestWait)},
+            {"slack_use_percent", toPercent(Plan.m_SlackUse)},
             {"start_within_ms", toMilliseconds(Wanted.m_StartWithin)},
-            {"slack_percent", static_cast<int>(Percent * m_SlackShare)},
+            {"slack_percent", toPercent(m_SlackShare)},
             {"report_age_ms",
              toMilliseconds(m_Workers.oldestReport(Added.m_Spec.m_Service))},
             {"finish_ms", toMilliseconds(Plan.m_Finish)}});
@@ -190,6 +200,8 @@
   Wanted.m_Need = Known.m_Spec.m_Need;
   Wanted.m_Expected = scaled(Known.m_Spec.m_Estimated,
                              m_Workers.meanSlowness(Known.m_Spec.m_Service));
+  Wanted.m_Nominal = scaled(Known.m_Spec.m_Estimated,
+                            m_Workers.leastSlowness(Known.m_Spec.m_Service));
   Wanted.m_StartWithin = Known.m_StartBy - m_Timers.now();
   Wanted.m_OrderWithin =
       m_Hooks.m_Order(Wanted.m_StartWithin, Known.m_Spec.m_Priority);
@@ -199,11 +211,11 @@
 }
 
 PlacementPlan BatchService::plan(const BatchJob &Known,
-                                 const PlacementJob &Wanted) const {
+                                 const PlacementJob &Wanted) {
   const std::string &Service = Known.m_Spec.m_Service;
   auto Elsewhere =
       m_Hooks.m_Placement(m_Workers.views(Service, Known.m_FailedOn), Wanted);
-  if (!Elsewhere.m_Agents.empty() || Known.m_FailedOn.empty())
+  if (!Elsewhere.m_Tasks.empty() || Known.m_FailedOn.empty())
     return Elsewhere;
   return m_Hooks.m_Placement(m_Workers.views(Service, {}), Wanted);
 }
@@ -212,14 +224,21 @@
                             const PlacementPlan &Plan) {
   ++Owner.m_Placements;
   std::map<Incarnation, std::vector<BatchTask *>> ByAgent;
-  auto Next = Plan.m_Agents.begin();
+  std::map<Incarnation, Duration> Excess;
+  auto Next = Plan.m_Tasks.begin();
   for (BatchTask &Known : Owner.m_Tasks) {
     if (Known.m_State != BatchTaskState::Unplaced)
       continue;
-    ByAgent[*Next++].push_back(&Known);
+    ByAgent[Next->m_Agent].push_back(&Known);
+    Excess[Next->m_Agent] = Next->m_Excess;
+    ++Next;
+  }
+  for (auto &Known : ByAgent) {
+    PlacementJob There = Wanted;
+    There.m_StartWithin -= Excess[Known.first];
+    There.m_OrderWithin -= Excess[Known.first];
+    sendTo(Known.first, Owner, There, Plan.m_LongestWait, Known.second);
   }
-  for (auto &Known : ByAgent)
-    sendTo(Known.first, Owner, Wanted, Plan.m_LongestWait, Known.second);
 }
 
 void BatchService::sendTo(Incarnation Agent, BatchJob &Owner,
@@ -235,10 +254,8 @@
   Body.m_StartWithin = Wanted.m_StartWithin;
   Body.m_OrderWithin = Wanted.m_OrderWithin;
   bool MayBeSentBack = Owner.m_Placements <= MaxSentBack;
-  Duration Tolerated =
-      std::max(Wait + m_Settings.m_WaitTolerance,
-               scaled(Wanted.m_StartWithin, m_Settings.m_ToleratedSlackShare));
-  Body.m_AcceptedWait = MayBeSentBack ? Tolerated : Owner.m_Spec.m_Deadline;
+  Body.m_AcceptedWait = MayBeSentBack ? Wait + m_Settings.m_WaitTolerance
+                                      : Owner.m_Spec.m_Deadline;
   Body.m_Remaining = Owner.m_DeadlineAt - m_Timers.now();
   for (BatchTask *Known : Chosen) {
     m_TaskChart.fire(*Known, BatchTaskEvent::Place);
@@ -263,7 +280,7 @@
   PlacementPlan Plan = plan(Owner, Wanted);
   Duration Remaining = Owner.m_DeadlineAt - m_Timers.now();
   bool IsOver =
-      Plan.m_Agents.empty() ||
+      Plan.m_Tasks.empty() ||
       Plan.m_LongestWait + scaled(Wanted.m_Expected, LeastRunPart) > Remaining;
   logEvent(LogLevel::Info, IsOver ? "job.hopeless" : "job.placed_again",
            {{"job", Owner.m_Spec.m_Name},
@@ -310,7 +327,24 @@
       }));
 }
 
-void BatchService::agentUp(const Peer &Agent) { m_Workers.add(Agent); }
+void BatchService::agentUp(const Peer &Agent) {
+  m_Workers.add(Agent);
+  bool HasGrown = static_cast<double>(m_Workers.size()) >
+                  PaceGrowth * static_cast<double>(m_PacedFor);
+  if (!HasGrown) {
+    m_Links.send(Agent.m_Incarnation, pace());
+    return;
+  }
+  m_PacedFor = m_Workers.size();
+  for (Incarnation Known : m_Workers.agents())
+    m_Links.send(Known, pace());
+}
+
+/// Divides the reports that this entry can take among the agents.
+ReportPace BatchService::pace() const {
+  return {scaled(seconds(1), static_cast<double>(m_Workers.size()) /
+                                 m_Settings.m_ReportsPerSecond)};
+}
 
 void BatchService::agentDown(const Peer &Agent) {
   Incarnation Gone = Agent.m_Incarnation;
--- a/packages/batch/internal/batchservice.h
+++ b/packages/batch/internal/batchservice.h
@@ -35,12 +35,13 @@
   ResultCode checkPossible(const BatchSpec &Spec) const;
   PlacementJob describePlacement(const BatchJob &Known,
                                  std::uint32_t Tasks) const;
-  PlacementPlan plan(const BatchJob &Known, const PlacementJob &Wanted) const;
+  PlacementPlan plan(const BatchJob &Known, const PlacementJob &Wanted);
   void sendPlan(BatchJob &Owner, const PlacementJob &Wanted,
                 const PlacementPlan &Plan);
   void sendTo(Incarnation Agent, BatchJob &Owner, const PlacementJob &Wanted,
               Duration Wait, const std::vector<BatchTask *> &Chosen);
   void placeRest(BatchJob &Owner);
+  ReportPace pace() const;
 
   void receiveHopeless(Incarnation Agent, const TaskHopeless &Late);
   void receiveEnds(Incarnation Agent, TaskEnds &Body);
@@ -69,6 +70,8 @@
   std::unordered_map<JobId, std::unique_ptr<BatchJob>> m_Jobs;
   std::unordered_map<std::string, JobId> m_ByName;
   std::uint64_t m_LastJob = 0;
+  /// The number of agents that the pace of reports was last told for.
+  std::size_t m_PacedFor = 0;
 };
 
 } // namespace cyclamenwalk
--- a/packages/batch/internal/workertable.cpp
+++ b/packages/batch/internal/workertable.cpp
@@ -12,7 +12,8 @@
 constexpr double GreatestSlowness = 10;
 constexpr double StrongDifference = 1.7;
 /// Sixteen steps, by the upper bits of a multiplicative hash.
-constexpr Duration BiasStep = microseconds(700);
+constexpr Duration BiasStep = microseconds(1800);
+constexpr std::uint64_t RoundFactor = 0x2545f4914f6cdd1dULL;
 constexpr std::uint64_t HashFactor = 0x9e3779b97f4a7c15ULL;
 constexpr int HashShift = 60;
 
@@ -25,6 +26,13 @@
 
 void WorkerTable::remove(Incarnation Agent) { m_Workers.erase(Agent); }
 
+std::vector<Incarnation> WorkerTable::agents() const {
+  std::vector<Incarnation> Agents;
+  for (const auto &Known : m_Workers)
+    Agents.push_back(Known.first);
+  return Agents;
+}
+
 void WorkerTable::report(Incarnation Agent, WorkerReport Report) {
   auto Found = m_Workers.find(Agent);
   if (Found == m_Workers.end())
@@ -105,6 +113,14 @@
   return speeds(Service).m_Mean;
 }
 
+double WorkerTable::leastSlowness(const std::string &Service) const {
+  Speeds Usual = speeds(Service);
+  double Least = Usual.m_Mean;
+  for (const auto &Kind : Usual.m_ByKind)
+    Least = std::min(Least, Kind.second);
+  return Least;
+}
+
 double WorkerTable::usedShare(const std::string &Service) const {
   double Capacity = 0;
   double Free = 0;
@@ -120,8 +136,9 @@
 
 std::vector<PlacementWorker>
 WorkerTable::views(const std::string &Service,
-                   const std::set<Incarnation> &Without) const {
+                   const std::set<Incarnation> &Without) {
   Speeds Usual = speeds(Service);
+  ++m_Round;
   std::vector<PlacementWorker> Views;
   for (const auto &Known : m_Workers)
     if (isUsable(Known.second, Service) && !Without.count(Known.first))
@@ -138,7 +155,8 @@
 }
 
 Duration WorkerTable::biasOf(Incarnation Agent) const {
-  std::uint64_t Mixed = (Agent.m_Value ^ m_Own.m_Value) * HashFactor;
+  std::uint64_t Mixed =
+      (Agent.m_Value ^ m_Own.m_Value ^ (m_Round * RoundFactor)) * HashFactor;
   return BiasStep * static_cast<Duration::rep>(Mixed >> HashShift);
 }
 
--- a/packages/batch/internal/workertable.h
+++ b/packages/batch/internal/workertable.h
@@ -21,18 +21,24 @@
 
   void add(const Peer &Agent);
   void remove(Incarnation Agent);
+  std::size_t size() const { return m_Workers.size(); }
+  std::vector<Incarnation> agents() const;
   void report(Incarnation Agent, WorkerReport Report);
 
   /// Tasks of \p Job were placed there.
   void charge(Incarnation Agent, const PlacementJob &Job, std::uint32_t Tasks);
 
-  /// The workers of a service that take tasks, but for \p Without.
-  std::vector<PlacementWorker>
-  views(const std::string &Service, const std::set<Incarnation> &Without) const;
+  /// The workers of a service that take tasks, but for \p Without. Their bias
+  /// is drawn anew in each call.
+  std::vector<PlacementWorker> views(const std::string &Service,
+                                     const std::set<Incarnation> &Without);
 
   /// Run time of tasks against their estimates, over all workers.
   double meanSlowness(const std::string &Service) const;
 
+  /// The same at workers of the fastest kind.
+  double leastSlowness(const std::string &Service) const;
+
   bool hasAccepting() const;
 
   /// The age of the oldest report among the workers that take tasks.
@@ -77,6 +83,7 @@
   Duration biasOf(Incarnation Agent) const;
 
   const Incarnation m_Own;
+  std::uint64_t m_Round = 0;
   ITimerService &m_Timers;
   std::unordered_map<Incarnation, Worker> m_Workers;
 };
--- a/packages/batch/types/batchspec.h
+++ b/packages/batch/types/batchspec.h
@@ -60,10 +60,11 @@
   Duration m_AnswerMargin = milliseconds(15);
   /// Part of the slack that is kept for messages and rounding.
   Duration m_SlackMargin = milliseconds(10);
-  /// How much longer than expected tasks may wait where they are placed, and
-  /// the share of the job's slack that they may wait in any case.
+  /// How much longer than expected tasks may wait where they are placed.
   Duration m_WaitTolerance = milliseconds(15);
-  double m_ToleratedSlackShare = 0.4;
+  /// Reports of agents that this entry has the processor for, beside those
+  /// that come with ends.
+  double m_ReportsPerSecond = 2000;
   /// Factor on the run time away from the data.
   double m_RemotePenalty = 1;
 };
--- a/packages/message/types/messages.h
+++ b/packages/message/types/messages.h
@@ -149,12 +149,18 @@
   bool m_WasKnown = false;
 };
 
+/// Entry to agent: reports that nothing else carries are to be at least this
+/// far apart.
+struct ReportPace {
+  Duration m_Period{};
+};
+
 using Message =
     std::variant<Hello, Heartbeat, Goodbye, BackendState, CreditGrant,
                  CreditWithdraw, Demand, Start, StartRefused, TaskDone, StopJob,
                  EntryList, ConfigurationNotice, ConfigurationRequest,
                  ConfigurationBody, WorkerReport, PlaceTasks, TaskEnds,
-                 TaskHopeless, CancelNamed, CancelNamedReply>;
+                 TaskHopeless, CancelNamed, CancelNamedReply, ReportPace>;
 
 /// A message with what a link needs to deliver it once and in order.
 struct Envelope {
--- a/packages/policy/internal/placement.cpp
+++ b/packages/policy/internal/placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace cyclamenwalk {
 
@@ -23,6 +24,9 @@
 constexpr double LeastSlackShare = 0.05;
 /// Waiting also delays those that come later, so it counts this many times.
 constexpr double WaitWeight = 2;
+/// Part of the time to wait that is left on slow workers at least: run times
+/// are too uncertain to rule them out.
+constexpr double LeastSlackLeft = 0.25;
 /// Keeps apart workers that would finish at the same time: the emptier wins.
 constexpr Duration LoadTieBreak = milliseconds(10);
 
@@ -38,6 +42,16 @@
                 Worker.m_Slowness * (IsRemote ? Job.m_RemotePenalty : 1));
 }
 
+double slackUse(Duration Wait, Duration Excess, const PlacementJob &Job) {
+  Duration Least = scaled(Job.m_StartWithin, LeastSlackLeft);
+  Duration Left = std::max(Job.m_StartWithin - Excess, Least);
+  if (Wait <= Duration::zero())
+    return 0;
+  return Left > Duration::zero() ? static_cast<double>(Wait.count()) /
+                                       static_cast<double>(Left.count())
+                                 : std::numeric_limits<double>::infinity();
+}
+
 using Score = std::function<Duration(const PlacementWorker &, Duration Wait)>;
 
 PlacementPlan placeByScore(std::vector<PlacementWorker> Workers,
@@ -61,9 +75,13 @@
       BestScore = Rated;
       BestWait = Wait;
     }
-    Plan.m_Agents.push_back(Best->m_Agent);
+    Duration Run = runTime(*Best, Job);
+    Duration Excess = std::max(Run - Job.m_Nominal, Duration::zero());
+    Plan.m_Tasks.push_back({Best->m_Agent, Excess});
     Plan.m_LongestWait = std::max(Plan.m_LongestWait, BestWait);
-    Plan.m_Finish = std::max(Plan.m_Finish, BestWait + runTime(*Best, Job));
+    Plan.m_SlackUse =
+        std::max(Plan.m_SlackUse, slackUse(BestWait, Excess, Job));
+    Plan.m_Finish = std::max(Plan.m_Finish, BestWait + Run);
     countTask(*Best, Job, Job.m_OrderWithin);
   }
   return Plan;
@@ -125,7 +143,7 @@
   // The first priority gives up waiting last.
   Share *=
       View.m_Priority == 0 ? std::sqrt(View.m_SlackShare) : View.m_SlackShare;
-  if (View.m_LongestWait > scaled(View.m_StartWithin, Share))
+  if (View.m_SlackUse > Share)
     return false;
   bool IsIdle = View.m_UsedShare < IdleShare;
   Duration Needed = scaled(View.m_Expected, IsIdle ? HopefulPart : LikelyPart);
--- a/packages/policy/types/placement.h
+++ b/packages/policy/types/placement.h
@@ -25,8 +25,8 @@
   /// Expected time until a running task ends.
   Duration m_MeanRemaining{};
   std::vector<WaitingWork> m_Waiting;
-  /// Set apart for each pair of entry and worker, so that entries which see
-  /// the same room do not all choose the same worker.
+  /// Drawn anew for each placement, so that entries which see the same room do
+  /// not all choose the same worker.
   Duration m_Bias{};
 };
 
@@ -35,7 +35,11 @@
   std::uint32_t m_Tasks = 1;
   Room m_Need;
   Duration m_Expected{};
-  /// Time until the latest start with which the objective is met.
+  /// Run time that the objective takes for granted: near the data, on a worker
+  /// of the fastest kind.
+  Duration m_Nominal{};
+  /// Time until the latest start with which the objective is met, if the task
+  /// takes no longer than m_Nominal.
   Duration m_StartWithin{};
   /// The place among tasks that wait; less goes first.
   Duration m_OrderWithin{};
@@ -45,11 +49,22 @@
   double m_RemotePenalty = 1;
 };
 
+/// Where one task goes.
+struct PlannedTask {
+  Incarnation m_Agent;
+  /// How much longer than m_Nominal it runs there, which leaves as much less
+  /// time to wait.
+  Duration m_Excess{};
+};
+
 /// A worker for each task; none when no worker can ever hold one.
 struct PlacementPlan {
-  std::vector<Incarnation> m_Agents;
+  std::vector<PlannedTask> m_Tasks;
   /// The wait of the task that starts last.
   Duration m_LongestWait{};
+  /// The greatest share of the time left for waiting that a task waits, where
+  /// a task that takes longer than m_Nominal has less of that time.
+  double m_SlackUse = 0;
   /// When the last task ends, from now.
   Duration m_Finish{};
 };
@@ -91,6 +106,8 @@
 /// What the admission of a job that was planned is decided on.
 struct ObjectiveView {
   Duration m_LongestWait{};
+  /// As in PlacementPlan.
+  double m_SlackUse = 0;
   /// Time until the latest start with which the objective is met.
   Duration m_StartWithin{};
   /// Time until the answer is of no use to the caller.
--- a/packages/protocol/internal/fields.h
+++ b/packages/protocol/internal/fields.h
@@ -86,6 +86,9 @@
 template <typename Call> void fields(CancelNamed &M, Call &&All) {
   All(M.m_Name);
 }
+template <typename Call> void fields(ReportPace &M, Call &&All) {
+  All(M.m_Period);
+}
 template <typename Call> void fields(CancelNamedReply &M, Call &&All) {
   All(M.m_Name, M.m_WasKnown);
 }
--- a/packages/worker/internal/workerservice.cpp
+++ b/packages/worker/internal/workerservice.cpp
@@ -125,6 +125,9 @@
     receivePlacement(Entry, *Placed);
   else if (auto *Stop = std::get_if<StopJob>(&Body))
     stopJob(Stop->m_Job);
+  else if (auto *Pace = std::get_if<ReportPace>(&Body))
+    m_Entries[Entry].m_Pace =
+        std::min(Pace->m_Period, m_Settings.m_ReportPeriod);
 }
 
 void WorkerService::receivePlacement(Incarnation Entry, PlaceTasks &Body) {
@@ -218,20 +221,30 @@
   if (SessionPointer Known = current())
     State = Known->report();
   State.m_IsAccepting = State.m_IsAccepting && !m_IsDraining;
-  bool IsAnyBehind = false;
+  Duration Next = Duration::max();
   for (auto &Known : m_Entries) {
     flushTo(Known.first, Known.second, State);
-    IsAnyBehind = IsAnyBehind || Known.second.m_IsBehind;
+    if (Known.second.m_IsBehind)
+      Next = std::min(Next, nextReport(Known.second, State));
   }
-  if (IsAnyBehind)
-    scheduleFlush(m_Settings.m_ReportPeriod);
+  if (Next != Duration::max())
+    scheduleFlush(std::max(Next, m_Settings.m_ReportDelay));
+}
+
+/// When an entry that is behind has to be told.
+Duration WorkerService::nextReport(const LinkedEntry &Known,
+                                   const WorkerReport &State) const {
+  Duration Period =
+      isNews(Known.m_Told, State) ? Known.m_Pace : m_Settings.m_ReportPeriod;
+  return Known.m_ToldAt + Period - m_Timers.now();
 }
 
 void WorkerService::flushTo(Incarnation Entry, LinkedEntry &Known,
                             const WorkerReport &State) {
-  bool IsNews = Known.m_IsBehind &&
-                (m_Timers.now() - Known.m_ToldAt >= m_Settings.m_ReportPeriod ||
-                 isNews(Known.m_Told, State));
+  Duration Since = m_Timers.now() - Known.m_ToldAt;
+  bool IsDue = Since >= m_Settings.m_ReportPeriod ||
+               (Since >= Known.m_Pace && isNews(Known.m_Told, State));
+  bool IsNews = Known.m_IsBehind && IsDue;
   if (Known.m_Ends.empty() && !IsNews)
     return;
   Known.m_IsBehind = false;
--- a/packages/worker/internal/workerservice.h
+++ b/packages/worker/internal/workerservice.h
@@ -31,6 +31,8 @@
     /// What it was told last, and when.
     WorkerReport m_Told;
     TimePoint m_ToldAt;
+    /// Reports alone are this far apart at least.
+    Duration m_Pace{};
   };
 
   SessionPointer findSession(const std::string &Instance) const;
@@ -46,6 +48,8 @@
   void noteHopeless(const Run &Late);
   void scheduleFlush(Duration Delay);
   void flush();
+  Duration nextReport(const LinkedEntry &Known,
+                      const WorkerReport &State) const;
   void flushTo(Incarnation Entry, LinkedEntry &Known,
                const WorkerReport &State);
   void checkOverdue();
--- a/standins/runner/runnerstandin.cpp
+++ b/standins/runner/runnerstandin.cpp
@@ -173,11 +173,10 @@
   for (const End &Known : m_Ended)
     Ended.push_back(
         {Known.m_Number, Known.m_Task, Known.m_Run, Known.m_How, ""});
-  return respond(
-      200, {{"clock-ms", clock()},
-            {"born", m_Born},
-            {"running", Running},
-            {"finished", Ended}});
+  return respond(200, {{"clock-ms", clock()},
+                       {"born", m_Born},
+                       {"running", Running},
+                       {"finished", Ended}});
 }
 
 void RunnerStandin::finish(const std::string &Task, const char *How) {
