Waiting tasks that can wait are overtaken; a server that is tried takes no queue

A head of the queue without room left 5 % of the cores idle at the crest.

After a stall a run whose progress grows is a probe; rests last 1.4 s at most; a server that is tried sends back what it may not start; a task without room is overtaken while its order key is 30 ms ahead or more.

--- a/packages/worker/internal/backendcondition.cpp
+++ b/packages/worker/internal/backendcondition.cpp
@@ -11,7 +11,7 @@
 
 /// How long a server rests; the pause doubles while it does not recover.
 constexpr Duration FirstPause = milliseconds(700);
-constexpr Duration LongestPause = milliseconds(2800);
+constexpr Duration LongestPause = milliseconds(1400);
 constexpr std::uint32_t ProbesNeeded = 2;
 /// What an agent takes for the usual share of failures: it sees no peers.
 constexpr double UsualFailureRate = 0.01;
@@ -33,8 +33,15 @@
   return Chart(
       Charts.chart("condition"),
       {{"hasEnoughProbes",
-        [](const Context &C) { return C.m_Probes + 1 >= ProbesNeeded; }}},
-      {{"rest", [this](Context &C) { rest(C); }},
+        [](const Context &C) { return C.m_Probes + 1 >= ProbesNeeded; }},
+       {"hasStalled", [](const Context &C) { return C.m_HasStalled; }},
+       {"hasStalledEnoughProbes",
+        [](const Context &C) {
+          return C.m_HasStalled && C.m_Probes + 1 >= ProbesNeeded;
+        }}},
+      {{"noteStall", [](Context &C) { C.m_HasStalled = true; }},
+       {"noteFailing", [](Context &C) { C.m_HasStalled = false; }},
+       {"rest", [this](Context &C) { rest(C); }},
        {"probe", [](Context &C) { C.m_Probes = 0; }},
        {"countProbe", [](Context &C) { ++C.m_Probes; }},
        {"recover", [](Context &C) { C.m_Pause = {}; }}});
@@ -67,6 +74,8 @@
 
 void BackendCondition::noteStall() { fire(ConditionEvent::Stalled); }
 
+void BackendCondition::noteProgress() { fire(ConditionEvent::GotOn); }
+
 void BackendCondition::noteEnd(bool HasFailed) {
   bool IsCondemned = m_Test({HasFailed, UsualFailureRate, m_Timers.now()});
   fire(HasFailed ? ConditionEvent::Failed : ConditionEvent::Succeeded);
@@ -81,7 +90,7 @@
   case ConditionState::Resting:
     return 0;
   case ConditionState::Probing:
-    return 1;
+    return 1 + m_Context.m_Probes;
   }
   return 0;
 }
--- a/packages/worker/internal/backendcondition.h
+++ b/packages/worker/internal/backendcondition.h
@@ -12,15 +12,22 @@
 namespace cyclamenwalk {
 
 enum class ConditionState { Sound, Resting, Probing };
-enum class ConditionEvent { Stalled, Failing, Failed, Succeeded, PauseOver };
+enum class ConditionEvent {
+  Stalled,
+  Failing,
+  Failed,
+  Succeeded,
+  GotOn,
+  PauseOver
+};
 
 template <> struct ChartNames<ConditionState> {
   static constexpr std::array<std::string_view, 3> Values{"sound", "resting",
                                                           "probing"};
 };
 template <> struct ChartNames<ConditionEvent> {
-  static constexpr std::array<std::string_view, 5> Values{
-      "stalled", "failing", "failed", "succeeded", "pauseOver"};
+  static constexpr std::array<std::string_view, 6> Values{
+      "stalled", "failing", "failed", "succeeded", "gotOn", "pauseOver"};
 };
 
 /// Whether the backend server carries its runs out, by how they end and
@@ -36,6 +43,9 @@
   /// Runs of the server do not get on.
   void noteStall();
 
+  /// A run gets on. After a stall that tells as much as its end, and earlier.
+  void noteProgress();
+
   /// A run has ended by itself. The tasks of one job may fail for a reason of
   /// their own, so each job is counted once.
   void noteEnd(bool HasFailed);
@@ -47,6 +57,8 @@
   struct Context {
     ConditionState m_State = ConditionState::Sound;
     std::uint32_t m_Probes = 0;
+    /// Whether it rested because its runs stood still.
+    bool m_HasStalled = false;
     Duration m_Pause{};
   };
   using Chart = BoundChart<Context, ConditionState, ConditionEvent>;
--- a/packages/worker/internal/backendsession.cpp
+++ b/packages/worker/internal/backendsession.cpp
@@ -3,6 +3,7 @@
 #include "core/log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cyclamenwalk {
 
@@ -229,7 +230,7 @@
 
 void BackendSession::startWaiting() {
   while (isServing() && m_Ledger.occupied() < m_Condition.limit()) {
-    RunPointer Next = m_Ledger.nextToStart();
+    RunPointer Next = m_Ledger.nextToStart(m_Timers.now());
     if (!Next)
       break;
     m_Ledger.unqueue(*Next);
@@ -378,8 +379,11 @@
     Known->m_ProgressAt = m_Timers.now();
     bool HasGrown = Listed.m_ProgressPercent > Known->m_ProgressPercent ||
                     Known->m_GrewAt == TimePoint{};
+    bool GetsOn = Listed.m_ProgressPercent > 0 && HasGrown;
     if (HasGrown)
       Known->m_GrewAt = m_Timers.now();
+    if (GetsOn && !std::exchange(Known->m_GetsOn, true))
+      m_Condition.noteProgress();
     Known->m_ProgressPercent = Listed.m_ProgressPercent;
     checkHopeless(*Known);
   }
--- a/packages/worker/internal/backendsession.h
+++ b/packages/worker/internal/backendsession.h
@@ -59,6 +59,9 @@
   WorkerReport report() const;
   bool isServing() const { return m_Context.m_State == SessionState::Serving; }
   bool isGone() const { return m_Context.m_State == SessionState::Gone; }
+  /// Whether one more run may be placed. A server that is tried takes no more
+  /// than it may start at once.
+  bool takesMore() const { return m_Ledger.size() < m_Condition.limit(); }
   bool hasOverdue() const;
   std::size_t running() const { return m_Ledger.size(); }
 
--- a/packages/worker/internal/run.h
+++ b/packages/worker/internal/run.h
@@ -68,6 +68,8 @@
   TimePoint m_ProgressAt;
   /// When its progress was last seen to grow.
   TimePoint m_GrewAt;
+  /// Whether its progress was seen to grow.
+  bool m_GetsOn = false;
   /// Whether the entry was told that it cannot end in time.
   bool m_IsHopeless = false;
   /// When it was last asked to stop; zero before.
--- a/packages/worker/internal/runledger.cpp
+++ b/packages/worker/internal/runledger.cpp
@@ -16,6 +16,9 @@
 /// From this progress on, percent, it tells more than the estimate.
 constexpr std::uint32_t TrustedProgress = 10;
 constexpr double WholePercent = 100;
+/// A waiting run without room is not overtaken any more when its order key is
+/// this close.
+constexpr Duration OvertakenUntil = milliseconds(30);
 
 } // namespace
 
@@ -53,11 +56,15 @@
   }
 }
 
-RunPointer RunLedger::nextToStart() const {
-  if (m_Queue.empty())
-    return nullptr;
-  const RunPointer &First = m_Queue.begin()->second;
-  return free().holds(First->m_Job->m_Need) ? First : nullptr;
+RunPointer RunLedger::nextToStart(TimePoint Now) const {
+  for (const auto &Known : m_Queue) {
+    if (free().holds(Known.second->m_Job->m_Need))
+      return Known.second;
+    bool MayBeOvertaken = Known.first - Now > OvertakenUntil;
+    if (!MayBeOvertaken)
+      break;
+  }
+  return nullptr;
 }
 
 void RunLedger::occupy(const Run &Started) {
--- a/packages/worker/internal/runledger.h
+++ b/packages/worker/internal/runledger.h
@@ -32,9 +32,10 @@
   void queue(const RunPointer &Waiting);
   void unqueue(const Run &Taken);
 
-  /// The first run of the queue if there is room for it. A large task at the
-  /// head is not overtaken, so that small ones cannot starve it.
-  RunPointer nextToStart() const;
+  /// The first run of the queue for which there is room. A large task is
+  /// overtaken by smaller ones only as long as its order key is well ahead, so
+  /// that they cannot starve it.
+  RunPointer nextToStart(TimePoint Now) const;
 
   /// The run takes room from now on, until release().
   void occupy(const Run &Started);
--- a/packages/worker/internal/workerservice.cpp
+++ b/packages/worker/internal/workerservice.cpp
@@ -16,11 +16,14 @@
 constexpr std::int64_t LittleFree = 25;
 constexpr std::int64_t WholePercent = 100;
 
+/// Whether the worker takes tasks now and did not, or the reverse.
+bool hasFlipped(const WorkerReport &Told, const WorkerReport &Now) {
+  return Told.m_IsAccepting != Now.m_IsAccepting ||
+         Told.m_Capacity != Now.m_Capacity;
+}
+
 bool isNews(const WorkerReport &Told, const WorkerReport &Now) {
-  bool HasFlipped = Told.m_IsAccepting != Now.m_IsAccepting ||
-                    Told.m_Capacity != Now.m_Capacity ||
-                    Told.m_Waiting.size() != Now.m_Waiting.size();
-  if (HasFlipped)
+  if (hasFlipped(Told, Now) || Told.m_Waiting.size() != Now.m_Waiting.size())
     return true;
   std::int64_t Capacity =
       std::max<std::int64_t>(1, Now.m_Capacity.m_MilliCores);
@@ -133,9 +136,9 @@
 void WorkerService::receivePlacement(Incarnation Entry, PlaceTasks &Body) {
   m_Entries[Entry].m_PlacedSeen += Body.m_Tasks.size();
   SessionPointer Serving = current();
-  bool IsTaken = Serving && Serving->isServing() && !m_IsDraining &&
-                 Serving->said().m_Service == Body.m_Service;
-  if (!IsTaken)
+  bool IsOpen = Serving && Serving->isServing() && !m_IsDraining &&
+                Serving->said().m_Service == Body.m_Service;
+  if (!IsOpen)
     return refuse(Entry, Body, Body.m_Tasks);
   auto Job = std::make_shared<PlacedJob>();
   Job->m_Job = Body.m_Job;
@@ -150,7 +153,9 @@
   Job->m_OrderKey = m_Timers.now() + Body.m_OrderWithin;
   std::vector<PlacedTask> SentBack;
   for (const PlacedTask &Task : Body.m_Tasks) {
-    if (Serving->forecastWait(*Job) > Body.m_AcceptedWait)
+    bool IsTaken = Serving->takesMore() &&
+                   Serving->forecastWait(*Job) <= Body.m_AcceptedWait;
+    if (!IsTaken)
       SentBack.push_back(Task);
     else
       Serving->place(Job, Task);
@@ -243,6 +248,7 @@
                             const WorkerReport &State) {
   Duration Since = m_Timers.now() - Known.m_ToldAt;
   bool IsDue = Since >= m_Settings.m_ReportPeriod ||
+               hasFlipped(Known.m_Told, State) ||
                (Since >= Known.m_Pace && isNews(Known.m_Told, State));
   bool IsNews = Known.m_IsBehind && IsDue;
   if (Known.m_Ends.empty() && !IsNews)
--- a/packages/worker/tests/workerservice_test.cpp
+++ b/packages/worker/tests/workerservice_test.cpp
@@ -117,6 +117,63 @@
   EXPECT_EQ(m_Control.m_Starts[6].m_Run.m_Task, "job2.0");
 }
 
+/// Mixed sizes at a crest: a large task that can wait leaves the rest of the
+/// room to smaller ones until its time comes.
+TEST_F(WorkerServiceTest, ALargeTaskThatCanWaitIsOvertaken) {
+  serve();
+  place(placement(6));
+  PlaceTasks Large = placement(1, 2);
+  Large.m_Need = {30000, 64, 0};
+  Large.m_OrderWithin = milliseconds(400);
+  place(Large);
+  PlaceTasks Small = placement(1, 3);
+  Small.m_Need = {1000, 64, 0};
+  Small.m_OrderWithin = milliseconds(500);
+  place(Small);
+  EXPECT_EQ(m_Control.m_Starts.size(), 7u);
+  EXPECT_EQ(m_Control.m_Starts.back().m_Run.m_Task, "job3.0");
+}
+
+/// Entries that do not know yet that a server is only tried.
+TEST_F(WorkerServiceTest, AServerThatIsTriedSendsBackWhatItMayNotStart) {
+  serve();
+  place(placement(3));
+  m_Control.answerHolds();
+  m_Timers.advance(milliseconds(200));
+  m_Control.answerHolds();
+  for (std::uint32_t I = 0; I < 3; ++I)
+    m_Control.end({"job1." + std::to_string(I), 1}, RunEnd::Stopped);
+  m_Control.answerHolds();
+  m_Timers.advance(milliseconds(750));
+  m_Control.answerHolds();
+  ends();
+  place(placement(3, 3));
+  EXPECT_EQ(m_Control.m_Starts.size(), 4u);
+  EXPECT_EQ(ends().size(), 2u);
+}
+
+/// A server that hung: a long run that gets on shows that it is over.
+TEST_F(WorkerServiceTest, AfterAStallARunThatGetsOnIsAProbe) {
+  serve();
+  place(placement(1));
+  m_Control.answerHolds();
+  m_Timers.advance(milliseconds(200));
+  m_Control.answerHolds();
+  m_Control.end({"job1.0", 1}, RunEnd::Stopped);
+  m_Control.answerHolds();
+  m_Timers.advance(milliseconds(750));
+  m_Control.answerHolds();
+  for (std::uint64_t Job = 2; Job <= 3; ++Job) {
+    place(placement(1, Job));
+    m_Control.answerHolds();
+    m_Timers.advance(milliseconds(30));
+    m_Control.m_Running[{"job" + std::to_string(Job) + ".0", 1}] = 10;
+    m_Control.answerHolds();
+  }
+  place(placement(3, 4));
+  EXPECT_EQ(m_Control.m_Starts.size(), 6u);
+}
+
 TEST_F(WorkerServiceTest, NothingStartsBesideRunsOfAnEarlierAgent) {
   m_Control.m_Running[{"old.0", 3}] = 40;
   m_Worker->announce(announcement());
