--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -182,6 +182,10 @@
   return address(Port::EntryCallsProxy, Entry);
 }
 
+std::string Fleet::directAddress(int Entry) const {
+  return address(Port::EntryCalls, Entry);
+}
+
 bool Fleet::isReady(int Entry) const {
   HttpRequest Request;
   Request.m_Url = "http://" + address(Port::EntryReadiness, Entry) + "/readyz";
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -47,8 +47,9 @@
   /// The proxies before what a process listens on, and before the store.
   std::vector<FaultProxy *> proxiesOf(const std::string &Process);
 
-  /// Where callers reach an entry.
+  /// Where callers reach an entry, through its proxy or past it.
   std::string callAddress(int Entry) const;
+  std::string directAddress(int Entry) const;
   bool isReady(int Entry) const;
 
   /// Puts a configuration into the store; false when the store did not take
