--- a/tests/soak/soakchecker.cpp
+++ b/tests/soak/soakchecker.cpp
@@ -96,6 +96,9 @@
 
 void SoakChecker::checkStart(const ObservedRun &Run, Job &Known) {
   Task &Now = Known.m_Tasks[Run.m_Task];
+  bool IsRefused = Known.m_Waiting == 0 && Known.m_Refusals == Known.m_Attempts;
+  if (IsRefused)
+    add("started after its refusal: " + Run.m_Task);
   if (!Now.m_Running.empty())
     add("two runs at the same time: " + Run.m_Task);
   if (Run.m_Spec != Known.m_Said.m_Spec)
