--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -35,6 +35,7 @@
 
 std::vector<std::string> namesOf(const std::string &Kind, int Count) {
   std::vector<std::string> Names;
+  Names.reserve(static_cast<std::size_t>(Count));
   for (int I = 0; I < Count; ++I)
     Names.push_back(nameOf(Kind, I));
   return Names;
