A job is not placed again while its earlier runs are being stopped

Ruled out: numbers of runs, both were ordered by one entry in order.

Test: AJobIsNotPlacedAgainWhileItsEarlierRunsAreStopped

--- a/packages/batch/internal/batchservice.cpp
+++ b/packages/batch/internal/batchservice.cpp
@@ -108,6 +108,10 @@
   BatchJob &Added = addJob(std::move(Spec));
   JobId Id = Added.m_Id;
   Added.m_Waiters.push_back(std::move(Done));
+  if (m_Stopping.count(Added.m_Spec.m_Name) > 0) {
+    giveUp(Added, ResultCode::EarlierRunsStopping);
+    return Id;
+  }
   ResultCode Possible = checkPossible(Added.m_Spec);
   if (Possible != ResultCode::Ok) {
     refuse(Added, Possible, LeastRetryAfter);
@@ -480,7 +484,8 @@
   Ended.m_Answer.m_Code = mayHaveRun(Ended) ? MayHaveRun : DidNotRun;
 }
 
-/// Stops what is placed, one message for each agent.
+/// Stops what is placed, one message for each agent. Until the runs are over
+/// the same job, sent again, must not be placed.
 void BatchService::stopRest(BatchJob &Failed) {
   std::set<Incarnation> Agents;
   for (const BatchTask &Known : Failed.m_Tasks)
@@ -488,6 +493,11 @@
       Agents.insert(Known.m_Agent);
   for (Incarnation Agent : Agents)
     m_Links.send(Agent, StopJob{Failed.m_Id});
+  if (Agents.empty())
+    return;
+  auto Noted = m_Stopping.insert(Failed.m_Spec.m_Name);
+  m_Timers.subscribe(m_Settings.m_StopTime,
+                     [this, Noted] { m_Stopping.erase(Noted); });
 }
 
 void BatchService::answer(BatchJob &Ended) {
--- a/packages/batch/internal/batchservice.h
+++ b/packages/batch/internal/batchservice.h
@@ -5,6 +5,7 @@
 #include "batch/internal/batchjob.h"
 #include "batch/internal/workertable.h"
 
+#include <set>
 #include <unordered_map>
 
 namespace cyclamenwalk {
@@ -69,6 +70,8 @@
   double m_SlackShare = 1;
   std::unordered_map<JobId, std::unique_ptr<BatchJob>> m_Jobs;
   std::unordered_map<std::string, JobId> m_ByName;
+  /// Names of jobs whose runs are being stopped.
+  std::multiset<std::string> m_Stopping;
   std::uint64_t m_LastJob = 0;
   /// The number of agents that the pace of reports was last told for.
   std::size_t m_PacedFor = 0;
--- a/packages/batch/tests/batchservice_test.cpp
+++ b/packages/batch/tests/batchservice_test.cpp
@@ -218,6 +218,21 @@
   EXPECT_EQ(Sent.back().second.m_Period, milliseconds(1));
 }
 
+/// A caller whose connection broke sends its job again at once.
+TEST_F(BatchServiceTest, AJobIsNotPlacedAgainWhileItsEarlierRunsAreStopped) {
+  addWorker(11, report());
+  JobId Job = submit(spec(2));
+  m_Jobs->abandon(Job);
+  placements();
+  submit(spec(2));
+  EXPECT_TRUE(placements().empty());
+  ASSERT_EQ(m_Answers.size(), 2u);
+  EXPECT_EQ(m_Answers[1].m_Code, ResultCode::EarlierRunsStopping);
+  m_Timers.advance(BatchSettings{}.m_StopTime);
+  submit(spec(2));
+  EXPECT_EQ(placements().size(), 1u);
+}
+
 TEST_F(BatchServiceTest, TheDeadlineEndsAJobThatRuns) {
   addWorker(11, report());
   submit(spec(1));
--- a/packages/batch/types/batchspec.h
+++ b/packages/batch/types/batchspec.h
@@ -65,6 +65,9 @@
   /// Reports of agents that this entry has the processor for, beside those
   /// that come with ends.
   double m_ReportsPerSecond = 2000;
+  /// Runs that are asked to stop are over after this time; shorter than the
+  /// time after which callers send a job again.
+  Duration m_StopTime = milliseconds(1000);
   /// Factor on the run time away from the data.
   double m_RemotePenalty = 1;
 };
