Compute the speeds of the kinds once for a job's description

The mean and the least slowness were two calls, each of which sorted the workers by kind; a placement did so three times, now twice.

--- a/packages/batch/internal/batchservice.cpp
+++ b/packages/batch/internal/batchservice.cpp
@@ -202,10 +202,9 @@
   PlacementJob Wanted;
   Wanted.m_Tasks = Tasks;
   Wanted.m_Need = Known.m_Spec.m_Need;
-  Wanted.m_Expected = scaled(Known.m_Spec.m_Estimated,
-                             m_Workers.meanSlowness(Known.m_Spec.m_Service));
-  Wanted.m_Nominal = scaled(Known.m_Spec.m_Estimated,
-                            m_Workers.leastSlowness(Known.m_Spec.m_Service));
+  auto Slowness = m_Workers.slowness(Known.m_Spec.m_Service);
+  Wanted.m_Expected = scaled(Known.m_Spec.m_Estimated, Slowness.m_Mean);
+  Wanted.m_Nominal = scaled(Known.m_Spec.m_Estimated, Slowness.m_Least);
   Wanted.m_StartWithin = Known.m_StartBy - m_Timers.now();
   Wanted.m_OrderWithin =
       m_Hooks.m_Order(Wanted.m_StartWithin, Known.m_Spec.m_Priority);
--- a/packages/batch/internal/workertable.cpp
+++ b/packages/batch/internal/workertable.cpp
@@ -109,16 +109,12 @@
   return Usual;
 }
 
-double WorkerTable::meanSlowness(const std::string &Service) const {
-  return speeds(Service).m_Mean;
-}
-
-double WorkerTable::leastSlowness(const std::string &Service) const {
+WorkerTable::Slowness WorkerTable::slowness(const std::string &Service) const {
   Speeds Usual = speeds(Service);
   double Least = Usual.m_Mean;
   for (const auto &Kind : Usual.m_ByKind)
     Least = std::min(Least, Kind.second);
-  return Least;
+  return {Usual.m_Mean, Least};
 }
 
 double WorkerTable::usedShare(const std::string &Service) const {
--- a/packages/batch/internal/workertable.h
+++ b/packages/batch/internal/workertable.h
@@ -33,11 +33,14 @@
   std::vector<PlacementWorker> views(const std::string &Service,
                                      const std::set<Incarnation> &Without);
 
-  /// Run time of tasks against their estimates, over all workers.
-  double meanSlowness(const std::string &Service) const;
-
-  /// The same at workers of the fastest kind.
-  double leastSlowness(const std::string &Service) const;
+  /// Run time of tasks against their estimates.
+  struct Slowness {
+    /// Over all workers.
+    double m_Mean = 1;
+    /// At workers of the fastest kind.
+    double m_Least = 1;
+  };
+  Slowness slowness(const std::string &Service) const;
 
   bool hasAccepting() const;
 
