Forward jobs to entries that see many workers; members are known by links

Now: - an entry is a member while a link to it is up, whatever its row says; - changes of members are collected for 200 ms; entries get what is new, agents the placers only; - entries with at least half of the largest processor share are placers. Agents of a rack link to the same four, fall back to others while one does not reply (with a growing pause), and release links that they no longer need; - an entry gives each job to one owner: itself while its workers have room, or the freer of two placers drawn at random, one that sees the rack of the data if there is one. A refusal before any start leads to one more offer, where the room is. A lost owner leaves the outcome unknown; a lost forwarder makes the owner stop the job; - a request that waited longer than its caller does is not placed.

forwardedjob and ownedjob are charts; models/forward.pml checks one owner, a true "did not run", one answer and no start after the loss or a cancellation, with four mutants, all found.

Ruled out: more links a worker with all entries alike (the small ones have no processor time for the reports).

--- a/packages/agent/internal/agentprogram.cpp
+++ b/packages/agent/internal/agentprogram.cpp
@@ -69,8 +69,9 @@
         m_Slots(makeSlotService(SlotSettings{}, chooseByDemand, m_Charts,
                                 *m_Links, m_Executor, m_Loop, m_Metrics)),
         m_Selection(makeEntrySelection(
-            {m_Process.m_Name, Settings.m_Entries, Settings.m_Links}, *m_Links,
-            m_Loop, [this] { lookUpEntries(); })),
+            {m_Process.m_Name, Settings.m_Entries, Settings.m_Links},
+            {[this] { lookUpEntries(); }, nullptr, selectAllEntries}, *m_Links,
+            m_Loop)),
         m_Lifecycle(lifecycleHooks(), m_Process.m_DrainLimit, m_Charts, m_Loop),
         m_Http({m_Process.m_HttpListen, m_Process.m_BodyLimit}) {
     setLinkHooks();
@@ -209,7 +210,7 @@
              {{"entry", Entry.m_Name},
               {"incarnation", toString(Entry.m_Incarnation)}});
     m_Entries.insert(Entry.m_Incarnation);
-    m_Selection->linkUp(Entry.m_Incarnation);
+    m_Selection->linkUp(Entry);
     m_Relay.peerUp(Entry.m_Incarnation);
     m_Slots->entryUp(Entry);
   }
@@ -219,7 +220,7 @@
              {{"entry", Entry.m_Name},
               {"incarnation", toString(Entry.m_Incarnation)}});
     m_Entries.erase(Entry.m_Incarnation);
-    m_Selection->linkDown(Entry.m_Incarnation);
+    m_Selection->linkDown(Entry);
     m_Relay.peerDown(Entry.m_Incarnation);
     m_Slots->entryDown(Entry);
   }
--- a/packages/agent/internal/backendcodec.cpp
+++ b/packages/agent/internal/backendcodec.cpp
@@ -1,8 +1,8 @@
 #include "agent/internal/backendcodec.h"
 
 #include "core/error.h"
-#include "json/boundedjson.h"
 #include "settings/inireader.h"
+#include "json/boundedjson.h"
 
 #include <nlohmann/json.hpp>
 
--- a/packages/batch/internal/batchjob.h
+++ b/packages/batch/internal/batchjob.h
@@ -1,7 +1,7 @@
 #ifndef CYCLAMENWALK_BATCH_INTERNAL_BATCHJOB_H
 #define CYCLAMENWALK_BATCH_INTERNAL_BATCHJOB_H
 
-#include "batch/types/batchspec.h"
+#include "batch/types/batchanswer.h"
 #include "core/itimerservice.h"
 #include "statechart/boundchart.h"
 
--- a/packages/batch/internal/batchservice.cpp
+++ b/packages/batch/internal/batchservice.cpp
@@ -130,7 +130,7 @@
   }
   bool IsAdmitted = m_Hooks.m_Admission(
       {Plan.m_LongestWait, Plan.m_SlackUse, Request.m_StartWithin,
-       Job.m_Spec.m_Deadline, Request.m_ExpectedRunTime,
+       Job.m_Spec.m_Deadline - Job.m_Spec.m_Age, Request.m_ExpectedRunTime,
        m_Workers.coreUtilization(Job.m_Spec.m_Service), m_SlackRatio,
        Job.m_Spec.m_Priority});
   logEvent(LogLevel::Info, IsAdmitted ? "job.admitted" : "job.refused",
@@ -165,9 +165,9 @@
   Job.m_Answer.m_Job = Id;
   Job.m_SubmittedAt = m_Timers.now();
   Job.m_DeadlineAt =
-      m_Timers.now() + Spec.m_Deadline - m_Settings.m_AnswerMargin;
+      m_Timers.now() + Spec.m_Deadline - Spec.m_Age - m_Settings.m_AnswerMargin;
   Duration Slack = scaled(Spec.m_EstimatedRunTime, Spec.m_SlackFactor - 1) +
-                   Spec.m_TargetLatency - m_Settings.m_SlackMargin;
+                   Spec.m_TargetLatency - m_Settings.m_SlackMargin - Spec.m_Age;
   Job.m_LatestStart = m_Timers.now() + std::max(Slack, Duration::zero());
   Job.m_Tasks.resize(Spec.m_Tasks);
   for (std::uint32_t I = 0; I < Spec.m_Tasks; ++I) {
@@ -536,6 +536,10 @@
 
 bool BatchService::hasWorkers() const { return m_Workers.hasAccepting(); }
 
+std::vector<ServiceRoom> BatchService::rooms() const {
+  return m_Workers.rooms();
+}
+
 std::size_t BatchService::running() const { return m_JobsByName.size(); }
 
 } // namespace cyclamenwalk
--- a/packages/batch/internal/batchservice.h
+++ b/packages/batch/internal/batchservice.h
@@ -25,6 +25,7 @@
   void agentDown(const Peer &Agent) override;
   void receive(Incarnation Agent, Message &Body) override;
   bool hasWorkers() const override;
+  std::vector<ServiceRoom> rooms() const override;
   std::size_t running() const override;
 
 private:
--- a/packages/batch/internal/workertable.cpp
+++ b/packages/batch/internal/workertable.cpp
@@ -172,6 +172,29 @@
   });
 }
 
+std::vector<ServiceRoom> WorkerTable::rooms() const {
+  std::map<std::string, ServiceRoom> RoomsByService;
+  std::map<std::string, std::set<std::string>> RacksByService;
+  for (const auto &Item : m_Workers) {
+    const WorkerReport &Report = Item.second.m_Report;
+    if (!isUsable(Item.second, Report.m_Service))
+      continue;
+    ServiceRoom &Room = RoomsByService[Report.m_Service];
+    Room.m_FreeMilliCores +=
+        std::max<std::int64_t>(0, Report.m_Free.m_MilliCores);
+    Room.m_CapacityMilliCores += Report.m_Capacity.m_MilliCores;
+    RacksByService[Report.m_Service].insert(Report.m_Rack);
+  }
+  std::vector<ServiceRoom> Rooms;
+  for (auto &Item : RoomsByService) {
+    const auto &Racks = RacksByService[Item.first];
+    Item.second.m_Service = Item.first;
+    Item.second.m_Racks.assign(Racks.begin(), Racks.end());
+    Rooms.push_back(std::move(Item.second));
+  }
+  return Rooms;
+}
+
 bool WorkerTable::canHold(const std::string &Service,
                           const Resources &Required) const {
   return std::any_of(m_Workers.begin(), m_Workers.end(), [&](const auto &Item) {
--- a/packages/batch/internal/workertable.h
+++ b/packages/batch/internal/workertable.h
@@ -3,6 +3,7 @@
 
 #include "core/itimerservice.h"
 #include "membership/types/peer.h"
+#include "message/types/forwarding.h"
 #include "policy/types/placement.h"
 
 #include <deque>
@@ -46,6 +47,9 @@
 
   bool hasAccepting() const;
 
+  /// The room of the workers that accept tasks, by service.
+  std::vector<ServiceRoom> rooms() const;
+
   /// The age of the oldest report of a worker that accepts tasks.
   Duration oldestReportAge(const std::string &Service) const;
 
--- a/packages/batch/tests/batchservice_test.cpp
+++ b/packages/batch/tests/batchservice_test.cpp
@@ -297,3 +297,29 @@
 }
 
 } // namespace
+
+TEST_F(BatchServiceTest, StatesTheRoomOfWorkersThatAccept) {
+  WorkerReport Busy = report(-8000);
+  Busy.m_Rack = "r2";
+  WorkerReport Draining = report();
+  Draining.m_IsAccepting = false;
+  WorkerReport Idle = report(24000);
+  Idle.m_Rack = "r1";
+  addWorker(11, Busy);
+  addWorker(12, Draining);
+  addWorker(13, Idle);
+  std::vector<ServiceRoom> Expected{
+      {"gatepost", 24000, 2 * Capacity.m_MilliCores, {"r1", "r2"}}};
+  EXPECT_EQ(m_Jobs->rooms(), Expected);
+}
+
+TEST_F(BatchServiceTest, CountsTheTimeBeforeAJobWasForwarded) {
+  addWorker(11, report());
+  BatchSpec Spec = spec(1);
+  Spec.m_Age = milliseconds(40);
+  submit(Spec);
+  auto Sent = placements();
+  ASSERT_EQ(Sent.size(), 1u);
+  EXPECT_EQ(Sent[0].second.m_StartWithin, milliseconds(110 - 40));
+  EXPECT_EQ(Sent[0].second.m_Remaining, milliseconds(2000 - 40 - 15));
+}
--- /dev/null
+++ b/packages/batch/tests/mocks/batchservicefake.h
@@ -0,0 +1,42 @@
+#ifndef CYCLAMENWALK_BATCH_TESTS_MOCKS_BATCHSERVICEFAKE_H
+#define CYCLAMENWALK_BATCH_TESTS_MOCKS_BATCHSERVICEFAKE_H
+
+#include "batch/ibatchservice.h"
+
+#include <vector>
+
+namespace cyclamenwalk {
+
+/// Records submitted jobs, which the test answers.
+class BatchServiceFake final : public IBatchService {
+public:
+  JobId submit(BatchSpec Spec, BatchCallback Callback) override {
+    m_Submitted.push_back(std::move(Spec));
+    m_Callbacks.push_back(std::move(Callback));
+    return {{}, m_Submitted.size()};
+  }
+  void removeCaller(JobId Id) override { m_Removed.push_back(Id); }
+  bool cancel(const std::string &) override { return false; }
+  bool isRunning(const std::string &) const override { return false; }
+  std::size_t waiting(const std::string &) const override { return 0; }
+  std::size_t running() const override { return 0; }
+  void agentUp(const Peer &) override {}
+  void agentDown(const Peer &) override {}
+  void receive(Incarnation, Message &) override {}
+  bool hasWorkers() const override { return !m_Rooms.empty(); }
+  std::vector<ServiceRoom> rooms() const override { return m_Rooms; }
+
+  /// Answers the job with that index in m_Submitted.
+  void answer(std::size_t Index, ResultCode Code) {
+    m_Callbacks.at(Index)({{}, Code, std::nullopt});
+  }
+
+  std::vector<ServiceRoom> m_Rooms;
+  std::vector<BatchSpec> m_Submitted;
+  std::vector<BatchCallback> m_Callbacks;
+  std::vector<JobId> m_Removed;
+};
+
+} // namespace cyclamenwalk
+
+#endif // CYCLAMENWALK_BATCH_TESTS_MOCKS_BATCHSERVICEFAKE_H
--- a/packages/batch/tests/mocks/batchservicemock.h
+++ b/packages/batch/tests/mocks/batchservicemock.h
@@ -18,6 +18,7 @@
   MOCK_METHOD(void, agentDown, (const Peer &), (override));
   MOCK_METHOD(void, receive, (Incarnation, Message &), (override));
   MOCK_METHOD(bool, hasWorkers, (), (const, override));
+  MOCK_METHOD(std::vector<ServiceRoom>, rooms, (), (const, override));
   MOCK_METHOD(std::size_t, running, (), (const, override));
 };
 
--- /dev/null
+++ b/packages/batch/types/batchanswer.h
@@ -0,0 +1,45 @@
+#ifndef CYCLAMENWALK_BATCH_TYPES_BATCHANSWER_H
+#define CYCLAMENWALK_BATCH_TYPES_BATCHANSWER_H
+
+#include "core/types/ids.h"
+#include "core/types/resultcode.h"
+#include "core/types/time.h"
+#include "message/types/batchspec.h"
+
+#include <cstddef>
+#include <functional>
+#include <optional>
+
+namespace cyclamenwalk {
+
+struct BatchAnswer {
+  JobId m_Job;
+  ResultCode m_Code = ResultCode::Ok;
+  /// When the caller may retry a job that did not run.
+  std::optional<Duration> m_RetryAfter;
+};
+
+using BatchCallback = std::function<void(const BatchAnswer &)>;
+
+struct BatchSettings {
+  /// Limit on jobs that run at once.
+  std::size_t m_MaxJobs = 4000;
+  /// The part of a caller's deadline that is reserved for sending the answer.
+  Duration m_AnswerMargin = milliseconds(15);
+  /// The part of the slack that is reserved for messages and rounding.
+  Duration m_SlackMargin = milliseconds(10);
+  /// How much longer than expected tasks may wait where they are placed.
+  Duration m_WaitTolerance = milliseconds(15);
+  /// Limit on the agents' periodic reports, from the processor time that this
+  /// entry has for them. Reports that come with run results are not counted.
+  double m_MaxReportsPerSecond = 2000;
+  /// Time after which runs that were asked to stop have ended. Must be shorter
+  /// than the time after which callers send a job again.
+  Duration m_StopTimeout = milliseconds(1000);
+  /// Factor on the run time on workers outside the rack of the data.
+  double m_RemotePenalty = 1;
+};
+
+} // namespace cyclamenwalk
+
+#endif // CYCLAMENWALK_BATCH_TYPES_BATCHANSWER_H
--- a/packages/core/types/metric.h
+++ b/packages/core/types/metric.h
@@ -15,6 +15,7 @@
   JobsRefused,
   JobsUnknown,
   JobsFailed,
+  JobsForwarded,
   TasksSent,
   TasksSucceeded,
   TasksFailed,
--- /dev/null
+++ b/packages/forward/internal/ownedjobs.cpp
@@ -0,0 +1,81 @@
+#include "forward/internal/ownedjobs.h"
+
+#include "core/log.h"
+
+namespace cyclamenwalk {
+
+namespace {
+
+constexpr Duration DrainingRetryAfter = seconds(1);
+
+} // namespace
+
+OwnedJobs::OwnedJobs(ForwardDependencies Dependencies,
+                     std::function<PlacerState()> CurrentState)
+    : m_Dependencies(Dependencies), m_CurrentState(std::move(CurrentState)),
+      m_Chart(bindChart(Dependencies.m_Charts)) {}
+
+OwnedJobs::Chart OwnedJobs::bindChart(const IChartSource &Charts) {
+  return Chart(Charts.chart("ownedjob"), {},
+               {{"sendAnswer", [this](OwnedJob &Job) { sendAnswer(Job); }},
+                {"cancelJob", [this](OwnedJob &Job) {
+                   m_Dependencies.m_Jobs.removeCaller(Job.m_Job);
+                 }}});
+}
+
+void OwnedJobs::receive(Incarnation Forwarder, ForwardJob Body) {
+  auto Job = std::make_shared<OwnedJob>();
+  Job->m_State = m_Chart.initial();
+  Job->m_Forwarder = Forwarder;
+  Job->m_Request = Body.m_Request;
+  logEvent(LogLevel::Info, "job.received",
+           {{"job", Body.m_Spec.m_Name},
+            {"forwarder", toString(Forwarder)},
+            {"age_ms", toMilliseconds(Body.m_Spec.m_Age)},
+            {"draining", m_IsDraining ? "yes" : "no"}});
+  if (m_IsDraining) {
+    Job->m_Answer.m_Code = ResultCode::Draining;
+    Job->m_Answer.m_RetryAfter = DrainingRetryAfter;
+    return fire(Job, OwnedJobEvent::Ended);
+  }
+  m_Jobs[{Forwarder, Body.m_Request}] = Job;
+  // The callback may come before submit() returns.
+  Job->m_Job = m_Dependencies.m_Jobs.submit(
+      std::move(Body.m_Spec), [this, Job](const BatchAnswer &Answer) {
+        Job->m_Answer = Answer;
+        fire(Job, OwnedJobEvent::Ended);
+      });
+}
+
+void OwnedJobs::cancel(Incarnation Forwarder, const CancelForwardedJob &Body) {
+  auto It = m_Jobs.find({Forwarder, Body.m_Request});
+  if (It != m_Jobs.end())
+    fire(JobPointer(It->second), OwnedJobEvent::Cancel);
+}
+
+void OwnedJobs::forwarderDown(Incarnation Forwarder) {
+  std::vector<JobPointer> Abandoned;
+  for (const auto &Item : m_Jobs)
+    if (Item.first.first == Forwarder)
+      Abandoned.push_back(Item.second);
+  if (!Abandoned.empty())
+    logEvent(LogLevel::Warning, "jobs.abandoned",
+             {{"forwarder", toString(Forwarder)}, {"jobs", Abandoned.size()}});
+  for (const JobPointer &Job : Abandoned)
+    fire(Job, OwnedJobEvent::ForwarderLost);
+}
+
+void OwnedJobs::fire(const JobPointer &Job, OwnedJobEvent Event) {
+  m_Chart.fire(*Job, Event);
+  if (Job->m_State == OwnedJobState::Ended)
+    m_Jobs.erase({Job->m_Forwarder, Job->m_Request});
+}
+
+void OwnedJobs::sendAnswer(const OwnedJob &Job) {
+  Duration RetryAfter = Job.m_Answer.m_RetryAfter.value_or(Duration::zero());
+  m_Dependencies.m_Links.send(
+      Job.m_Forwarder, ForwardedJobAnswer{Job.m_Request, Job.m_Answer.m_Code,
+                                          RetryAfter, m_CurrentState()});
+}
+
+} // namespace cyclamenwalk
--- a/packages/membership/ientryregistry.h
+++ b/packages/membership/ientryregistry.h
@@ -25,6 +25,15 @@
   /// over the row.
   virtual void recordAnnouncement(const EntryAddress &Entry) = 0;
 
+  /// Records that a link to \p Entry is up. Until recordLinkDown() it is a
+  /// member whatever its row says, since the store can lose rows of entries
+  /// that live.
+  virtual void recordLinkUp(const EntryAddress &Entry) = 0;
+
+  /// Records that the link is down. The entry remains a member for the lease
+  /// time, as it may be reachable by others.
+  virtual void recordLinkDown(const EntryAddress &Entry) = 0;
+
   /// Adds members that another entry listed, which is how members are found
   /// while the store is down. Records that have not expired take precedence.
   virtual void mergeMembers(const std::vector<EntryAddress> &Members) = 0;
--- a/packages/membership/ientryselection.h
+++ b/packages/membership/ientryselection.h
@@ -1,7 +1,7 @@
 #ifndef CYCLAMENWALK_MEMBERSHIP_IENTRYSELECTION_H
 #define CYCLAMENWALK_MEMBERSHIP_IENTRYSELECTION_H
 
-#include "message/types/messages.h"
+#include "membership/types/peer.h"
 
 #include <string>
 #include <vector>
@@ -19,8 +19,15 @@
   /// Replaces the list of entries by one that an entry or the store provided.
   virtual void setEntries(std::vector<EntryAddress> Entries) = 0;
 
-  virtual void linkUp(Incarnation Entry) = 0;
-  virtual void linkDown(Incarnation Entry) = 0;
+  /// Agents of one group select the same entries, which then see all workers
+  /// of the group. The group is the agent itself until it is set.
+  virtual void setGroup(const std::string &Group) = 0;
+
+  virtual void linkUp(const Peer &Entry) = 0;
+  virtual void linkDown(const Peer &Entry) = 0;
+
+  /// No reply came from \p Address; other entries are selected for a while.
+  virtual void addressUnreachable(const std::string &Address) = 0;
 
   virtual const std::vector<EntryAddress> &entries() const = 0;
 };
--- a/packages/membership/internal/entryregistry.cpp
+++ b/packages/membership/internal/entryregistry.cpp
@@ -92,6 +92,8 @@
   if (!Decoded || Row.m_Key == m_Registration.m_Row.m_Address.m_Name)
     return;
   OtherEntry &Entry = m_Others[Row.m_Key];
+  if (Entry.m_IsLinked)
+    return;
   bool HasChanged = Entry.m_RowVersion == 0 ||
                     Entry.m_Row.m_Renewals != Decoded->m_Renewals ||
                     Entry.m_Row.m_Address != Decoded->m_Address;
@@ -107,13 +109,15 @@
     StoredNames.insert(Row.m_Key);
   std::erase_if(m_Others, [&](const auto &NamedEntry) {
     bool IsFromStore = NamedEntry.second.m_RowVersion != 0;
-    return IsFromStore && !StoredNames.count(NamedEntry.first);
+    return IsFromStore && !NamedEntry.second.m_IsLinked &&
+           !StoredNames.count(NamedEntry.first);
   });
 }
 
 void EntryRegistry::deleteExpiredRows() {
   auto IsDeletionDue = [this](const OtherEntry &Entry) {
-    return m_Timers.now() - Entry.m_LastRenewedAt >= m_Settings.m_DeletionDelay;
+    return !Entry.m_IsLinked &&
+           m_Timers.now() - Entry.m_LastRenewedAt >= m_Settings.m_DeletionDelay;
   };
   for (const auto &NamedEntry : m_Others) {
     if (!IsDeletionDue(NamedEntry.second) ||
@@ -135,6 +139,23 @@
   notifyIfChanged();
 }
 
+void EntryRegistry::recordLinkUp(const EntryAddress &Entry) {
+  recordAddress(Entry);
+  m_Others[Entry.m_Name].m_IsLinked = true;
+  notifyIfChanged();
+}
+
+void EntryRegistry::recordLinkDown(const EntryAddress &Entry) {
+  auto It = m_Others.find(Entry.m_Name);
+  bool IsCurrent =
+      It != m_Others.end() &&
+      It->second.m_Row.m_Address.m_Incarnation == Entry.m_Incarnation;
+  if (!IsCurrent)
+    return;
+  It->second.m_IsLinked = false;
+  It->second.m_LastRenewedAt = m_Timers.now();
+}
+
 void EntryRegistry::mergeMembers(const std::vector<EntryAddress> &Members) {
   for (const EntryAddress &Member : Members) {
     auto It = m_Others.find(Member.m_Name);
@@ -155,7 +176,8 @@
 }
 
 bool EntryRegistry::hasExpired(const OtherEntry &Entry) const {
-  return m_Timers.now() - Entry.m_LastRenewedAt >= m_Settings.m_LeaseTimeout;
+  return !Entry.m_IsLinked &&
+         m_Timers.now() - Entry.m_LastRenewedAt >= m_Settings.m_LeaseTimeout;
 }
 
 std::vector<EntryAddress> EntryRegistry::members() const {
--- a/packages/membership/internal/entryregistry.h
+++ b/packages/membership/internal/entryregistry.h
@@ -39,6 +39,8 @@
   void start(ChangeHook Hook) override;
   void leave() override;
   void recordAnnouncement(const EntryAddress &Entry) override;
+  void recordLinkUp(const EntryAddress &Entry) override;
+  void recordLinkDown(const EntryAddress &Entry) override;
   void mergeMembers(const std::vector<EntryAddress> &Members) override;
   std::vector<EntryAddress> members() const override;
   bool isStoreAvailable() const override;
@@ -52,6 +54,7 @@
     TimePoint m_LastRenewedAt;
     /// Zero when the current address was not read from the store.
     std::uint64_t m_RowVersion = 0;
+    bool m_IsLinked = false;
   };
 
   Chart bindChart(const IChartSource &Charts);
--- a/packages/membership/internal/entryselection.h
+++ b/packages/membership/internal/entryselection.h
@@ -3,38 +3,54 @@
 
 #include "membership/membershipmodule.h"
 
-#include <functional>
-#include <set>
+#include <map>
 
 namespace cyclamenwalk {
 
-/// Selects entries by rendezvous hashing, so that a change of the list moves
-/// few links.
+/// Selects placers before other entries, each by rendezvous hashing on names,
+/// so that a change of the list or a restart moves few links.
 class EntrySelection final : public IEntrySelection {
 public:
-  /// Reads the entries from the store and calls setEntries().
-  using LookupHook = std::function<void()>;
-
-  EntrySelection(SelectionSettings Settings, ILinks &Links,
-                 ITimerService &Timers, LookupHook LookUpEntries);
+  EntrySelection(SelectionSettings Settings, SelectionHooks Hooks,
+                 ILinks &Links, ITimerService &Timers);
   ~EntrySelection() override;
 
   void start() override;
   void setEntries(std::vector<EntryAddress> Entries) override;
-  void linkUp(Incarnation Entry) override;
-  void linkDown(Incarnation Entry) override;
+  void setGroup(const std::string &Group) override;
+  void linkUp(const Peer &Entry) override;
+  void linkDown(const Peer &Entry) override;
+  void addressUnreachable(const std::string &Address) override;
   const std::vector<EntryAddress> &entries() const override;
 
 private:
+  struct Linked {
+    Incarnation m_Entry;
+    TimePoint m_Since;
+    bool m_IsReleased = false;
+  };
+
+  struct Backoff {
+    TimePoint m_Until;
+    Duration m_Delay{};
+  };
+
   void check();
-  std::vector<EntryAddress> selectEntries() const;
+  void connectToSeeds();
+  std::vector<EntryAddress> rankEntries() const;
+  std::vector<std::string> selectAddresses() const;
+  bool isBackingOff(const std::string &Address) const;
+  void releaseOthers(const std::vector<std::string> &Selected);
 
   const SelectionSettings m_Settings;
+  const SelectionHooks m_Hooks;
   ILinks &m_Links;
   ITimerService &m_Timers;
-  const LookupHook m_LookUpEntries;
+  std::string m_Group;
   std::vector<EntryAddress> m_Entries;
-  std::set<Incarnation> m_Linked;
+  /// Keyed by address.
+  std::map<std::string, Linked> m_Linked;
+  std::map<std::string, Backoff> m_Backoffs;
   TimerId m_Timer = 0;
 };
 
--- a/packages/membership/internal/links.cpp
+++ b/packages/membership/internal/links.cpp
@@ -129,8 +129,9 @@
   if (!Link) {
     if (isSuperseded(Incoming))
       return;
-    Peer NewPeer{Body.m_Name, Incoming.m_Sender, Body.m_Address,
-                 Body.m_FailureDomain, Body.m_Role};
+    Peer NewPeer{Body.m_Name,    Incoming.m_Sender,
+                 Body.m_Address, Body.m_FailureDomain,
+                 Body.m_Role,    Body.m_ProcessorMilliCores};
     closeOlderLinks(NewPeer);
     if (m_ByNumber.count(Incoming.m_Link))
       return;
@@ -162,8 +163,9 @@
     return;
   LinkPointer Link = It->second;
   if (Link->m_State == LinkState::Connecting) {
-    Peer NewPeer{Body.m_Name, Incoming.m_Sender, Body.m_Address,
-                 Body.m_FailureDomain, Body.m_Role};
+    Peer NewPeer{Body.m_Name,    Incoming.m_Sender,
+                 Body.m_Address, Body.m_FailureDomain,
+                 Body.m_Role,    Body.m_ProcessorMilliCores};
     closeOlderLinks(NewPeer);
     Link->m_Peer = NewPeer;
     m_ByPeer.emplace(Incoming.m_Sender, Link);
@@ -309,8 +311,12 @@
 }
 
 void Links::sendHello(LinkEndpoint &Link, bool IsReply) {
-  Hello Body{m_Self.m_Name, m_Self.m_Address, m_Self.m_FailureDomain,
-             m_Self.m_Role, IsReply};
+  Hello Body{m_Self.m_Name,
+             m_Self.m_Address,
+             m_Self.m_FailureDomain,
+             m_Self.m_Role,
+             m_Self.m_ProcessorMilliCores,
+             IsReply};
   transmit(Link, makeEnvelope(Link, std::move(Body)));
 }
 
--- a/packages/membership/internal/membershipmodule.cpp
+++ b/packages/membership/internal/membershipmodule.cpp
@@ -23,11 +23,12 @@
       std::move(Self), Settings, std::move(Codec), Charts, Tables, Timers);
 }
 
-std::unique_ptr<IEntrySelection>
-makeEntrySelection(SelectionSettings Settings, ILinks &Links,
-                   ITimerService &Timers, std::function<void()> LookUpEntries) {
-  return std::make_unique<EntrySelection>(std::move(Settings), Links, Timers,
-                                          std::move(LookUpEntries));
+std::unique_ptr<IEntrySelection> makeEntrySelection(SelectionSettings Settings,
+                                                    SelectionHooks Hooks,
+                                                    ILinks &Links,
+                                                    ITimerService &Timers) {
+  return std::make_unique<EntrySelection>(std::move(Settings), std::move(Hooks),
+                                          Links, Timers);
 }
 
 } // namespace cyclamenwalk
--- a/packages/membership/membershipmodule.h
+++ b/packages/membership/membershipmodule.h
@@ -6,6 +6,7 @@
 #include "membership/ientryregistry.h"
 #include "membership/ientryselection.h"
 #include "membership/ilinks.h"
+#include "membership/types/placers.h"
 #include "statechart/ichartsource.h"
 #include "store/itableservice.h"
 #include "transport/itransport.h"
@@ -32,13 +33,28 @@
   /// The maximum number of entries that an agent links to.
   std::size_t m_MaxLinks = 8;
   Duration m_CheckPeriod = seconds(1);
+  /// How long an entry that did not reply is passed over; doubles up to the
+  /// maximum.
+  Duration m_MinBackoff = seconds(1);
+  Duration m_MaxBackoff = seconds(8);
+  /// A link to an entry that is not selected is kept for this time at least.
+  Duration m_ReleaseDelay = seconds(2);
 };
 
-/// \p LookUpEntries is called while no link is up; it reads the entries from
-/// the store and calls setEntries().
-std::unique_ptr<IEntrySelection>
-makeEntrySelection(SelectionSettings Settings, ILinks &Links,
-                   ITimerService &Timers, std::function<void()> LookUpEntries);
+struct SelectionHooks {
+  /// Called while no link is up; reads the entries from the store and calls
+  /// setEntries().
+  std::function<void()> m_LookUpEntries;
+  /// Closes the link to an entry that is not selected, once it is no longer
+  /// used. Without this hook such links are kept.
+  std::function<void(Incarnation)> m_ReleaseLink;
+  PlacerSelection m_SelectPlacers = selectLargeEntries;
+};
+
+std::unique_ptr<IEntrySelection> makeEntrySelection(SelectionSettings Settings,
+                                                    SelectionHooks Hooks,
+                                                    ILinks &Links,
+                                                    ITimerService &Timers);
 
 } // namespace cyclamenwalk
 
--- a/packages/membership/tests/mocks/linksfake.h
+++ b/packages/membership/tests/mocks/linksfake.h
@@ -16,7 +16,7 @@
   void send(Incarnation To, Message Body) override {
     m_Sent.emplace_back(To, std::move(Body));
   }
-  void disconnect(Incarnation) override {}
+  void disconnect(Incarnation To) override { m_Disconnected.push_back(To); }
   bool isFlushed() const override { return true; }
 
   /// The sent messages of one type, in order, with their receivers.
@@ -29,6 +29,7 @@
   }
 
   std::vector<std::pair<Incarnation, Message>> m_Sent;
+  std::vector<Incarnation> m_Disconnected;
 };
 
 } // namespace cyclamenwalk
--- a/packages/membership/types/peer.h
+++ b/packages/membership/types/peer.h
@@ -12,6 +12,8 @@
   std::string m_Address;
   std::string m_FailureDomain;
   Role m_Role = Role::Agent;
+  /// Its share of a core, in thousandths; zero when unknown.
+  std::uint32_t m_ProcessorMilliCores = 0;
 };
 
 /// What this process states about itself in a Hello.
@@ -21,6 +23,8 @@
   std::string m_Address;
   std::string m_FailureDomain;
   Role m_Role = Role::Agent;
+  /// As in Peer.
+  std::uint32_t m_ProcessorMilliCores = 0;
 };
 
 /// Periods and limits of a link between two processes.
--- a/packages/message/types/messages.h
+++ b/packages/message/types/messages.h
@@ -4,6 +4,7 @@
 #include "core/types/ids.h"
 #include "core/types/resultcode.h"
 #include "core/types/time.h"
+#include "message/types/forwarding.h"
 #include "message/types/placement.h"
 
 #include <string>
@@ -28,6 +29,8 @@
   std::string m_Address;
   std::string m_FailureDomain;
   Role m_Role = Role::Agent;
+  /// The sender's share of a core, in thousandths; zero when unknown.
+  std::uint32_t m_ProcessorMilliCores = 0;
   bool m_IsReply = false;
 };
 
@@ -118,10 +121,13 @@
   /// IP:PORT for requests from callers and operators.
   std::string m_HttpAddress;
   std::string m_FailureDomain;
+  /// Its share of a core, in thousandths; zero when unknown.
+  std::uint32_t m_ProcessorMilliCores = 0;
   bool operator==(const EntryAddress &) const = default;
 };
 
-/// Entry to agent: the current members.
+/// To an agent: the entries that it may link to. To an entry: members that may
+/// be new to it.
 struct EntryList {
   std::vector<EntryAddress> m_Entries;
 };
@@ -164,7 +170,8 @@
                  EntryList, ConfigurationNotice, ConfigurationRequest,
                  ConfigurationBody, WorkerReport, PlaceTasks, RunResults,
                  DeadlineMissForecast, CancelJobByName, CancelJobByNameReply,
-                 ReportInterval>;
+                 ReportInterval, PlacerState, ForwardJob, ForwardedJobAnswer,
+                 CancelForwardedJob>;
 
 /// A message with the fields that a link needs to deliver it exactly once and
 /// in order.
--- a/packages/metrics/internal/metricsregistry.cpp
+++ b/packages/metrics/internal/metricsregistry.cpp
@@ -26,6 +26,7 @@
     {"jobs_refused", "Jobs that did not run."},
     {"jobs_unknown", "Jobs whose outcome is unknown."},
     {"jobs_failed", "Jobs that ran and failed."},
+    {"jobs_forwarded", "Offers of jobs to other entries."},
     {"tasks_sent", "Task starts sent to agents."},
     {"tasks_succeeded", "Tasks that succeeded."},
     {"tasks_failed", "Tasks that ran and failed."},
--- a/packages/protocol/internal/codec.cpp
+++ b/packages/protocol/internal/codec.cpp
@@ -4,6 +4,7 @@
 #include "protocol/internal/fields.h"
 
 #define MSGPACK_NO_BOOST
+#include <cmath>
 #include <msgpack.hpp>
 #include <type_traits>
 
@@ -29,6 +30,7 @@
   void put(std::uint32_t Value) { m_Packer.pack(Value); }
   void put(std::int64_t Value) { m_Packer.pack(Value); }
   void put(bool Value) { m_Packer.pack(Value); }
+  void put(double Value) { m_Packer.pack(Value); }
   void put(RunOutcome Value) { m_Packer.pack(static_cast<unsigned>(Value)); }
   void put(const std::string &Value) { m_Packer.pack(Value); }
   void put(Duration Value) { m_Packer.pack(std::int64_t(Value.count())); }
@@ -65,6 +67,11 @@
   void get(const msgpack::object &Object, std::int64_t &Value) {
     Object.convert(Value);
   }
+  void get(const msgpack::object &Object, double &Value) {
+    Object.convert(Value);
+    if (!std::isfinite(Value))
+      failMalformed("a number is not finite");
+  }
   void get(const msgpack::object &Object, bool &Value) {
     Object.convert(Value);
   }
--- a/packages/protocol/internal/fields.h
+++ b/packages/protocol/internal/fields.h
@@ -9,7 +9,7 @@
 /// encoded. Packing and unpacking use the same list.
 template <typename Call> void visitFields(Hello &Value, Call &&Visit) {
   Visit(Value.m_Name, Value.m_Address, Value.m_FailureDomain, Value.m_Role,
-        Value.m_IsReply);
+        Value.m_ProcessorMilliCores, Value.m_IsReply);
 }
 template <typename Call> void visitFields(Heartbeat &Value, Call &&Visit) {
   Visit(Value.m_RequestsResend, Value.m_IsNotReceiving);
@@ -48,7 +48,7 @@
 }
 template <typename Call> void visitFields(EntryAddress &Value, Call &&Visit) {
   Visit(Value.m_Name, Value.m_Incarnation, Value.m_Address, Value.m_HttpAddress,
-        Value.m_FailureDomain);
+        Value.m_FailureDomain, Value.m_ProcessorMilliCores);
 }
 template <typename Call> void visitFields(EntryList &Value, Call &&Visit) {
   Visit(Value.m_Entries);
@@ -107,6 +107,31 @@
 void visitFields(CancelJobByNameReply &Value, Call &&Visit) {
   Visit(Value.m_Name, Value.m_WasFound);
 }
+template <typename Call> void visitFields(ServiceRoom &Value, Call &&Visit) {
+  Visit(Value.m_Service, Value.m_FreeMilliCores, Value.m_CapacityMilliCores,
+        Value.m_Racks);
+}
+template <typename Call> void visitFields(PlacerState &Value, Call &&Visit) {
+  Visit(Value.m_IsAccepting, Value.m_Rooms);
+}
+template <typename Call> void visitFields(BatchSpec &Value, Call &&Visit) {
+  Visit(Value.m_Name, Value.m_BackendName, Value.m_Route, Value.m_Service,
+        Value.m_Spec, Value.m_Tasks, Value.m_Required, Value.m_EstimatedRunTime,
+        Value.m_Rack, Value.m_Deadline, Value.m_Priority, Value.m_MaxAttempts,
+        Value.m_SlackFactor, Value.m_TargetLatency,
+        Value.m_ConfigurationVersion, Value.m_Age);
+}
+template <typename Call> void visitFields(ForwardJob &Value, Call &&Visit) {
+  Visit(Value.m_Request, Value.m_Spec);
+}
+template <typename Call>
+void visitFields(ForwardedJobAnswer &Value, Call &&Visit) {
+  Visit(Value.m_Request, Value.m_Code, Value.m_RetryAfter, Value.m_State);
+}
+template <typename Call>
+void visitFields(CancelForwardedJob &Value, Call &&Visit) {
+  Visit(Value.m_Request);
+}
 template <typename Call> void visitFields(Incarnation &Value, Call &&Visit) {
   Visit(Value.m_Value);
 }
--- a/packages/protocol/tests/codec_test.cpp
+++ b/packages/protocol/tests/codec_test.cpp
@@ -2,6 +2,7 @@
 #include "protocol/codec.h"
 
 #include <gtest/gtest.h>
+#include <limits>
 #include <rapidcheck.h>
 
 using namespace cyclamenwalk;
@@ -59,6 +60,33 @@
 
 TEST(Codec, roundTripsEveryMessageType) { expectEveryTypeRoundTrips(); }
 
+TEST(Codec, roundTripsAForwardedJob) {
+  ForwardJob Body;
+  Body.m_Request = 7;
+  Body.m_Spec.m_Name = "a1";
+  Body.m_Spec.m_Required = {8000, 64, 1};
+  Body.m_Spec.m_SlackFactor = 1.6;
+  Body.m_Spec.m_Deadline = milliseconds(1500);
+  Body.m_Spec.m_Age = milliseconds(20);
+  Envelope Value;
+  Value.m_Message = Body;
+  Envelope Decoded = decode(encode(Value));
+  const BatchSpec &Spec = std::get<ForwardJob>(Decoded.m_Message).m_Spec;
+  EXPECT_EQ(Spec.m_Name, "a1");
+  EXPECT_EQ(Spec.m_Required, Body.m_Spec.m_Required);
+  EXPECT_EQ(Spec.m_SlackFactor, 1.6);
+  EXPECT_EQ(Spec.m_Deadline, milliseconds(1500));
+  EXPECT_EQ(Spec.m_Age, milliseconds(20));
+}
+
+TEST(Codec, refusesANumberThatIsNotFinite) {
+  ForwardJob Body;
+  Body.m_Spec.m_SlackFactor = std::numeric_limits<double>::infinity();
+  Envelope Value;
+  Value.m_Message = Body;
+  EXPECT_EQ(decodeErrorCode(encode(Value)), ResultCode::MalformedMessage);
+}
+
 TEST(Codec, refusesOtherVersionsOversizeAndMalformedInput) {
   std::string Bytes = encode(makeStartEnvelope());
   EXPECT_EQ(decodeErrorCode(Bytes, Bytes.size() - 1),
--- a/packages/rowcodec/internal/rowcodecs.cpp
+++ b/packages/rowcodec/internal/rowcodecs.cpp
@@ -13,12 +13,15 @@
 
 using Json = nlohmann::json;
 
+constexpr std::int64_t MaxMilliCores = 1'000'000;
+
 Json encodeAddress(const EntryAddress &Value) {
   return {{"name", Value.m_Name},
           {"incarnation", toString(Value.m_Incarnation)},
           {"address", Value.m_Address},
           {"http", Value.m_HttpAddress},
-          {"failure_domain", Value.m_FailureDomain}};
+          {"failure_domain", Value.m_FailureDomain},
+          {"processor_millicores", Value.m_ProcessorMilliCores}};
 }
 
 EntryAddress decodeAddress(const Json &Object) {
@@ -29,6 +32,11 @@
   Value.m_Address = Object.at("address");
   Value.m_HttpAddress = Object.at("http");
   Value.m_FailureDomain = Object.at("failure_domain");
+  // Absent in rows of earlier releases.
+  if (Object.contains("processor_millicores"))
+    Value.m_ProcessorMilliCores = static_cast<std::uint32_t>(
+        toWholeNumber(Object["processor_millicores"], 0, MaxMilliCores)
+            .value_or(0));
   if (!isAddress(Value.m_Address))
     throw Error(ResultCode::BadAddress,
                 "the address of entry \"" + Value.m_Name + "\" is not IP:PORT");
--- a/packages/worker/internal/backendsession.cpp
+++ b/packages/worker/internal/backendsession.cpp
@@ -240,6 +240,14 @@
   startWaitingRuns();
 }
 
+bool BackendSession::hasRunsOf(Incarnation Entry) const {
+  auto Runs = m_Runs.runs();
+  return std::any_of(Runs.begin(), Runs.end(),
+                     [Entry](const RunPointer &Candidate) {
+                       return Candidate->m_Job->m_Entry == Entry;
+                     });
+}
+
 void BackendSession::startWaitingRuns() {
   while (isServing() && m_Runs.activeCount() < m_Health.runLimit()) {
     RunPointer Next = m_Runs.nextToStart(m_Timers.now());
--- a/packages/worker/internal/backendsession.h
+++ b/packages/worker/internal/backendsession.h
@@ -58,6 +58,9 @@
   /// Stops the runs for which \p Matches returns true.
   void stopRuns(const std::function<bool(const Run &)> &Matches);
 
+  /// Whether runs that \p Entry placed here have not ended.
+  bool hasRunsOf(Incarnation Entry) const;
+
   WorkerReport report() const;
   bool isServing() const { return m_Context.m_State == SessionState::Serving; }
   bool isGone() const { return m_Context.m_State == SessionState::Gone; }
--- a/packages/worker/internal/workerservice.cpp
+++ b/packages/worker/internal/workerservice.cpp
@@ -143,10 +143,44 @@
         std::min(Interval->m_Period, m_Settings.m_MaxReportPeriod);
 }
 
+void WorkerService::withdrawFrom(Incarnation Entry) {
+  auto It = m_Entries.find(Entry);
+  if (It == m_Entries.end())
+    return;
+  It->second.m_IsWithdrawn = true;
+  It->second.m_HasUnreportedChange = true;
+  scheduleReports(Duration::zero());
+  m_Timers.subscribe(m_Settings.m_WithdrawPeriod,
+                     [this, Entry] { disconnectWhenIdle(Entry); });
+}
+
+/// Called at least one period after the entry was told, so that no placement is
+/// on its way.
+void WorkerService::disconnectWhenIdle(Incarnation Entry) {
+  auto It = m_Entries.find(Entry);
+  if (It == m_Entries.end() || !It->second.m_IsWithdrawn)
+    return;
+  if (!hasRunsOf(Entry) && It->second.m_RunResults.empty()) {
+    logEvent(LogLevel::Info, "entry.released", {{"entry", toString(Entry)}});
+    m_Dependencies.m_Links.disconnect(Entry);
+    return;
+  }
+  m_Timers.subscribe(m_Settings.m_WithdrawPeriod,
+                     [this, Entry] { disconnectWhenIdle(Entry); });
+}
+
+bool WorkerService::hasRunsOf(Incarnation Entry) const {
+  return std::any_of(m_Sessions.begin(), m_Sessions.end(),
+                     [Entry](const SessionPointer &Session) {
+                       return Session->hasRunsOf(Entry);
+                     });
+}
+
 void WorkerService::receivePlacement(Incarnation Entry, PlaceTasks &Body) {
   m_Entries[Entry].m_PlacementsSeen += Body.m_Tasks.size();
   SessionPointer Session = currentSession();
   bool IsAccepting = Session && Session->isServing() && !m_IsDraining &&
+                     !m_Entries[Entry].m_IsWithdrawn &&
                      Session->announcement().m_Service == Body.m_Service;
   if (!IsAccepting)
     return refuseTasks(Entry, Body, Body.m_Tasks);
@@ -240,7 +274,7 @@
   Duration Delay = Duration::max();
   for (auto &Item : m_Entries) {
     sendReportIfDue(Item.first, Item.second, Report);
-    if (Item.second.m_HasUnreportedChange)
+    if (Item.second.m_HasUnreportedChange && !Item.second.m_IsWithdrawn)
       Delay = std::min(Delay, timeToNextReport(Item.second, Report));
   }
   if (Delay != Duration::max())
@@ -256,13 +290,15 @@
 }
 
 void WorkerService::sendReportIfDue(Incarnation Id, LinkedEntry &Entry,
-                                    const WorkerReport &Report) {
+                                    WorkerReport Report) {
+  Report.m_IsAccepting = Report.m_IsAccepting && !Entry.m_IsWithdrawn;
   Duration SinceReport = m_Timers.now() - Entry.m_LastReportAt;
   bool IsPeriodOver = SinceReport >= m_Settings.m_MaxReportPeriod ||
                       hasAvailabilityChanged(Entry.m_LastReport, Report) ||
                       (SinceReport >= Entry.m_ReportInterval &&
                        isSignificantChange(Entry.m_LastReport, Report));
-  bool IsReportDue = Entry.m_HasUnreportedChange && IsPeriodOver;
+  bool IsNeeded = !Entry.m_IsWithdrawn || Entry.m_LastReport.m_IsAccepting;
+  bool IsReportDue = Entry.m_HasUnreportedChange && IsPeriodOver && IsNeeded;
   if (Entry.m_RunResults.empty() && !IsReportDue)
     return;
   Entry.m_HasUnreportedChange = false;
--- a/packages/worker/internal/workerservice.h
+++ b/packages/worker/internal/workerservice.h
@@ -18,6 +18,7 @@
   void entryUp(const Peer &Entry) override;
   void entryDown(const Peer &Entry) override;
   void receive(Incarnation Entry, Message &Body) override;
+  void withdrawFrom(Incarnation Entry) override;
   std::size_t running() const override;
 
 private:
@@ -33,6 +34,8 @@
     TimePoint m_LastReportAt;
     /// Minimum time between reports that carry no results.
     Duration m_ReportInterval{};
+    /// Whether the entry has been told to place no more tasks here.
+    bool m_IsWithdrawn = false;
   };
 
   SessionPointer findSession(const std::string &Instance) const;
@@ -50,9 +53,10 @@
   void sendReports();
   Duration timeToNextReport(const LinkedEntry &Entry,
                             const WorkerReport &Report) const;
-  void sendReportIfDue(Incarnation Id, LinkedEntry &Entry,
-                       const WorkerReport &Report);
+  void sendReportIfDue(Incarnation Id, LinkedEntry &Entry, WorkerReport Report);
   void checkOverdueRuns();
+  void disconnectWhenIdle(Incarnation Entry);
+  bool hasRunsOf(Incarnation Entry) const;
 
   const WorkerSettings m_Settings;
   const WorkerDependencies m_Dependencies;
--- a/packages/worker/iworkerservice.h
+++ b/packages/worker/iworkerservice.h
@@ -27,6 +27,10 @@
   virtual void entryDown(const Peer &Entry) = 0;
   virtual void receive(Incarnation Entry, Message &Body) = 0;
 
+  /// Takes no more tasks from \p Entry and closes the link to it when its runs
+  /// have ended.
+  virtual void withdrawFrom(Incarnation Entry) = 0;
+
   /// The number of runs placed here that have not ended, including those that
   /// wait.
   virtual std::size_t running() const = 0;
--- a/packages/worker/tests/workerservice_test.cpp
+++ b/packages/worker/tests/workerservice_test.cpp
@@ -415,3 +415,27 @@
   EXPECT_EQ(m_Control.executeStart(LateOrder), OrderOutcome::Fenced)
       << "an order of the earlier life arrives late";
 }
+
+/// An agent releases the entries by which it found those that it selected.
+TEST_F(WorkerServiceTest, WithdrawsFromAnEntryAfterItsRunsHaveEnded) {
+  serve();
+  place(makePlacement(1));
+  m_Timers.advance(milliseconds(200));
+  m_Links.m_Sent.clear();
+  m_Worker->withdrawFrom(Entry.m_Incarnation);
+  m_Timers.advance(milliseconds(50));
+  auto Reports = m_Links.sent<WorkerReport>();
+  ASSERT_FALSE(Reports.empty());
+  EXPECT_EQ(Reports[0].first, Entry.m_Incarnation);
+  EXPECT_FALSE(Reports[0].second.m_IsAccepting);
+  place(makePlacement(1, 2));
+  auto Results = takeResults();
+  ASSERT_EQ(Results.size(), 1u);
+  EXPECT_EQ(Results[0].m_RunOutcome, RunOutcome::NotStarted);
+  m_Timers.advance(seconds(2));
+  EXPECT_TRUE(m_Links.m_Disconnected.empty()) << "a run has not ended";
+  m_Control.endRun(m_Control.m_Starts[0].m_Run, RunOutcome::Succeeded);
+  m_Control.answerHolds();
+  m_Timers.advance(seconds(2));
+  EXPECT_EQ(m_Links.m_Disconnected, std::vector{Entry.m_Incarnation});
+}
--- a/packages/worker/types/backend.h
+++ b/packages/worker/types/backend.h
@@ -145,6 +145,9 @@
   Duration m_OverdueReportPeriod = milliseconds(150);
   /// A placed task that has not started after this time is returned.
   Duration m_MaxQueueTime = milliseconds(700);
+  /// How often an entry that gets no more reports is checked for remaining
+  /// runs. Longer than a placement can be on its way.
+  Duration m_WithdrawPeriod = milliseconds(500);
 };
 
 } // namespace cyclamenwalk
--- a/scripts/checkmodels.py
+++ b/scripts/checkmodels.py
@@ -8,7 +8,8 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 SCXML = "{http://www.w3.org/2005/07/scxml}"
 MAPPED_CHARTS = {"task", "credit", "execution", "claim", "request", "apply",
-                 "configuration", "backend", "process", "job"}
+                 "configuration", "backend", "process", "job",
+                 "forwardedjob", "ownedjob"}
 
 
 def transitions(chart):
