A run of a task that has not ended is not replaced by one of the same name

Cause: found by the new property test over delayed orders, lost answers and jobs that are sent again. A second placement of a task at the same agent took the place of a run that was still being stopped; the cores of that run stayed reserved for ever, and the second run was answered as started by the first one. The agent now sends the task back.

--- a/packages/worker/internal/backendsession.cpp
+++ b/packages/worker/internal/backendsession.cpp
@@ -209,19 +209,26 @@
     fireRun(Candidate, RunEvent::Expire);
 }
 
-void BackendSession::placeTask(const std::shared_ptr<const PlacedJob> &Job,
+bool BackendSession::placeTask(const std::shared_ptr<const PlacedJob> &Job,
                                PlacedTask Task) {
+  std::string Name = Job->m_Name + "." + std::to_string(Task.m_Index);
+  if (m_Runs.hasTask(Name)) {
+    logEvent(LogLevel::Warning, "run.earlier_not_ended",
+             {{"task", Name}, {"run", Task.m_Run}});
+    return false;
+  }
   auto Added = std::make_shared<Run>();
   Added->m_State = m_RunChart.initial();
   Added->m_Job = Job;
   Added->m_Task = Task;
-  Added->m_Id = {Job->m_Name + "." + std::to_string(Task.m_Index), Task.m_Run};
+  Added->m_Id = {std::move(Name), Task.m_Run};
   m_Runs.add(Added);
   m_Runs.enqueue(Added);
   RunId Id = Added->m_Id;
   Added->m_ExpiryTimer = m_Timers.subscribe(m_Settings.m_MaxQueueTime,
                                             [this, Id] { expireRun(Id); });
   startWaitingRuns();
+  return true;
 }
 
 Duration BackendSession::forecastWait(const PlacedJob &Job) const {
--- a/packages/worker/internal/backendsession.h
+++ b/packages/worker/internal/backendsession.h
@@ -50,7 +50,9 @@
   /// The server is known to be gone, and all of its runs with it.
   void markLost(const std::string &Reason);
 
-  void placeTask(const std::shared_ptr<const PlacedJob> &Job, PlacedTask Task);
+  /// Takes over one run of a task. False if an earlier run of it has not ended,
+  /// as when a caller sends a job again whose runs are still being stopped.
+  bool placeTask(const std::shared_ptr<const PlacedJob> &Job, PlacedTask Task);
 
   /// Expected queue time of one more run of \p Job.
   Duration forecastWait(const PlacedJob &Job) const;
--- a/packages/worker/internal/runtable.cpp
+++ b/packages/worker/internal/runtable.cpp
@@ -35,6 +35,11 @@
   return It == m_Runs.end() ? nullptr : It->second;
 }
 
+bool RunTable::hasTask(const std::string &Task) const {
+  auto It = m_Runs.lower_bound({Task, 0});
+  return It != m_Runs.end() && It->first.m_Task == Task;
+}
+
 std::vector<RunPointer> RunTable::runs() const {
   std::vector<RunPointer> Runs;
   Runs.reserve(m_Runs.size());
--- a/packages/worker/internal/runtable.h
+++ b/packages/worker/internal/runtable.h
@@ -25,6 +25,9 @@
   void add(const RunPointer &Added);
   void erase(const Run &Erased);
   RunPointer find(const RunId &Id) const;
+
+  /// Whether a run of the task, with any number, has not ended.
+  bool hasTask(const std::string &Task) const;
   std::vector<RunPointer> runs() const;
   std::size_t size() const { return m_Runs.size(); }
 
--- a/packages/worker/internal/workerservice.cpp
+++ b/packages/worker/internal/workerservice.cpp
@@ -198,11 +198,10 @@
   std::vector<PlacedTask> RefusedTasks;
   for (const PlacedTask &Task : Body.m_Tasks) {
     bool IsAccepted = Session->acceptsMoreRuns() &&
-                      Session->forecastWait(*Job) <= Body.m_MaxWait;
+                      Session->forecastWait(*Job) <= Body.m_MaxWait &&
+                      Session->placeTask(Job, Task);
     if (!IsAccepted)
       RefusedTasks.push_back(Task);
-    else
-      Session->placeTask(Job, Task);
   }
   if (!RefusedTasks.empty())
     refuseTasks(Entry, Body, RefusedTasks);
--- /dev/null
+++ b/packages/worker/tests/capacityproperty_test.cpp
@@ -0,0 +1,160 @@
+#include "core/tests/mocks/metricsfake.h"
+#include "membership/tests/mocks/linksfake.h"
+#include "statechart/chartfolder.h"
+#include "worker/tests/mocks/backendservermodel.h"
+#include "worker/workermodule.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+using namespace cyclamenwalk;
+
+namespace {
+
+constexpr std::int64_t CapacityMilliCores = 32'000;
+constexpr std::size_t JobNames = 12;
+const Peer Entry{"entry-1", {7}, "10.0.0.1:1", "zone-a", Role::Entry};
+const Peer OtherEntry{"entry-2", {8}, "10.0.0.2:1", "zone-a", Role::Entry};
+
+/// An agent beside a backend server that delays orders and loses answers, and
+/// two entries that place, stop and send again jobs of a few names.
+class Scenario {
+public:
+  explicit Scenario(std::uint32_t Seed)
+      : m_Server(m_Timers, Seed),
+        m_Worker(makeWorkerService(
+            WorkerSettings{}, {m_Charts, m_Links, m_Server, m_Timers, m_Metrics,
+                               [this] { return makeToken(); }})) {
+    m_Server.m_CapacityMilliCores = CapacityMilliCores;
+    m_Server.m_MilliCoresOf = [](const RunId &Run) {
+      return milliCoresOf(Run.m_Task.substr(0, Run.m_Task.find('.')));
+    };
+    m_Worker->entryUp(Entry);
+    m_Worker->entryUp(OtherEntry);
+  }
+
+  void play(int Steps) {
+    for (int Step = 0; Step < Steps; ++Step) {
+      if (Step % 50 == 0)
+        announce();
+      act();
+      m_Timers.advance(milliseconds(1 + m_Server.draw(25)));
+      m_Server.checkLease();
+    }
+  }
+
+  /// Plays on without faults and new work until all runs have ended.
+  void settle() {
+    m_Server.m_IsFaulty = false;
+    for (int Step = 0; Step < 300; ++Step) {
+      if (Step % 50 == 0)
+        announce();
+      m_Server.endRandomRun();
+      m_Timers.advance(milliseconds(20));
+      m_Server.checkLease();
+    }
+  }
+
+  std::size_t running() const { return m_Worker->running(); }
+
+  /// The free cores as last reported.
+  std::int64_t freeMilliCores() const {
+    return m_Links.sent<WorkerReport>().back().second.m_Free.m_MilliCores;
+  }
+
+  BackendServerModel &server() { return m_Server; }
+
+private:
+  static std::int64_t milliCoresOf(const std::string &Job) {
+    return 2000 + 450 * static_cast<std::int64_t>(Job.back() - 'a');
+  }
+
+  std::uint64_t makeToken() const {
+    return static_cast<std::uint64_t>(
+        toMilliseconds(m_Timers.now().time_since_epoch()));
+  }
+
+  void announce() {
+    BackendAnnouncement Announcement;
+    Announcement.m_Instance = "i-1";
+    Announcement.m_Address = "10.0.0.9:80";
+    Announcement.m_Service = "gatepost";
+    Announcement.m_Capacity = {CapacityMilliCores, 262144, 0};
+    Announcement.m_Sequence = ++m_Sequence;
+    m_Worker->announce(Announcement);
+  }
+
+  void act() {
+    std::size_t Action = m_Server.draw(10);
+    if (Action < 4)
+      place(m_Server.draw(2) == 0 ? Entry : OtherEntry);
+    else if (Action == 4)
+      stop();
+    else if (Action < 8)
+      m_Server.endRandomRun();
+    else if (Action == 8 && m_Server.draw(10) == 0)
+      m_Server.m_IsFaulty = !m_Server.m_IsFaulty;
+  }
+
+  void place(const Peer &From) {
+    PlaceTasks Body;
+    Body.m_Job = {From.m_Incarnation, ++m_LastJob};
+    Body.m_Name = std::string("job-") +
+                  static_cast<char>('a' + m_Server.draw(JobNames));
+    Body.m_Service = "gatepost";
+    Body.m_Required = {milliCoresOf(Body.m_Name), 64, 0};
+    Body.m_ExpectedRunTime = milliseconds(100);
+    Body.m_StartWithin = Body.m_OrderWithin = milliseconds(100);
+    Body.m_Remaining = Body.m_MaxWait = seconds(2);
+    for (std::uint32_t I = 0; I < 3; ++I)
+      Body.m_Tasks.push_back({I, 1 + m_Generation / 20});
+    ++m_Generation;
+    Message Received = std::move(Body);
+    m_Worker->receive(From.m_Incarnation, Received);
+  }
+
+  void stop() {
+    if (m_LastJob == 0)
+      return;
+    JobId Job{m_Server.draw(2) == 0 ? Entry.m_Incarnation
+                                    : OtherEntry.m_Incarnation,
+              m_LastJob - m_Server.draw(std::min<std::size_t>(5, m_LastJob))};
+    Message Body = StopJob{Job};
+    m_Worker->receive(Job.m_Entry, Body);
+  }
+
+  ChartFolder m_Charts{CW_CHART_DIR};
+  LinksFake m_Links;
+  ManualTimerService m_Timers;
+  MetricsFake m_Metrics;
+  BackendServerModel m_Server;
+  std::unique_ptr<IWorkerService> m_Worker;
+  std::uint64_t m_Sequence = 0;
+  std::uint64_t m_LastJob = 0;
+  std::uint32_t m_Generation = 0;
+};
+
+} // namespace
+
+/// Whatever is delayed, lost or overtaken, and although callers send jobs again
+/// under the same names, no start exceeds the capacity of the server.
+TEST(CapacityProperty, startsNeverExceedTheCapacity) {
+  std::size_t Starts = 0;
+  EXPECT_TRUE(rc::check("capacity is kept", [&](std::uint32_t Seed) {
+    Scenario Played(Seed);
+    Played.play(400);
+    Starts += Played.server().m_StartCount;
+    RC_ASSERT(Played.server().m_MostOverCapacity <= 0);
+  }));
+  EXPECT_GT(Starts, 1000u);
+}
+
+TEST(CapacityProperty, allResourcesAreFreeAfterAllRunsHaveEnded) {
+  EXPECT_TRUE(rc::check("nothing is left reserved", [](std::uint32_t Seed) {
+    Scenario Played(Seed);
+    Played.play(200);
+    Played.settle();
+    RC_ASSERT(Played.running() == 0u);
+    RC_ASSERT(Played.freeMilliCores() == CapacityMilliCores);
+  }));
+}
--- /dev/null
+++ b/packages/worker/tests/mocks/backendservermodel.h
@@ -0,0 +1,172 @@
+#ifndef CYCLAMENWALK_WORKER_TESTS_MOCKS_BACKENDSERVERMODEL_H
+#define CYCLAMENWALK_WORKER_TESTS_MOCKS_BACKENDSERVERMODEL_H
+
+#include "core/tests/mocks/manualtimerservice.h"
+#include "worker/ibackendcontrol.h"
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+#include <vector>
+
+namespace cyclamenwalk {
+
+/// A backend server with the rules of the platform: it starts whatever it is
+/// told to, keeps the highest token, and ends all runs when the lease expires.
+/// At random it delays orders by up to seconds, loses answers and lets them
+/// overtake each other.
+class BackendServerModel final : public IBackendControl {
+public:
+  BackendServerModel(ManualTimerService &Timers, std::uint32_t Seed)
+      : m_Timers(Timers), m_Random(Seed) {}
+
+  void start(StartOrder Order, std::function<void(OrderReply)> Done) override {
+    execute<OrderReply>(
+        [this, Order] { return executeStart(Order); }, Done, OrderTimeout);
+  }
+
+  void stop(StopOrder Order, std::function<void(OrderReply)> Done) override {
+    execute<OrderReply>([this, Order] { return executeStop(Order); }, Done,
+                        OrderTimeout);
+  }
+
+  void hold(HoldOrder Order, std::function<void(HoldReply)> Done) override {
+    Duration Wait = std::min<Duration>(Order.m_Wait, milliseconds(20));
+    execute<HoldReply>([this, Order] { return executeHold(Order); }, Done,
+                       Order.m_Wait + OrderTimeout, Wait);
+  }
+
+  /// Ends one of the runs in progress.
+  void endRandomRun() {
+    if (m_Running.empty())
+      return;
+    auto It = m_Running.begin();
+    std::advance(It, draw(m_Running.size()));
+    end(RunId(*It), draw(10) == 0 ? RunOutcome::Failed : RunOutcome::Succeeded);
+  }
+
+  void checkLease() {
+    if (now() < m_LeaseUntil)
+      return;
+    for (const RunId &Run : std::set<RunId>(m_Running))
+      end(Run, RunOutcome::Lapsed);
+  }
+
+  std::size_t draw(std::size_t Count) { return m_Random() % Count; }
+
+  /// The cores of each run, by the task's name; set by the test.
+  std::function<std::int64_t(const RunId &)> m_MilliCoresOf;
+  std::int64_t m_CapacityMilliCores = 0;
+  /// The greatest use of cores beyond the capacity.
+  std::int64_t m_MostOverCapacity = 0;
+  std::size_t m_StartCount = 0;
+  /// Whether faults are drawn.
+  bool m_IsFaulty = true;
+
+private:
+  static constexpr Duration OrderTimeout = milliseconds(60);
+
+  Duration now() const { return m_Timers.now().time_since_epoch(); }
+
+  /// Executes \p Call after a network delay and passes its result to \p Done,
+  /// or an unanswered one after \p Timeout. Faults: the order is executed late
+  /// or never, or its answer is lost.
+  template <typename Reply>
+  void execute(std::function<Reply()> Call, std::function<void(Reply)> Done,
+               Duration Timeout, Duration Wait = {}) {
+    auto IsAnswered = std::make_shared<bool>(false);
+    auto Answer = [IsAnswered, Done](const Reply &Value) {
+      if (!std::exchange(*IsAnswered, true))
+        Done(Value);
+    };
+    m_Timers.subscribe(Timeout, [Answer] { Answer(Reply()); });
+    std::size_t Fault = m_IsFaulty ? draw(12) : 12;
+    if (Fault == 0)
+      return;
+    Duration ExecutedAfter = Wait + microseconds(100 + draw(3000));
+    if (Fault <= 2)
+      ExecutedAfter += milliseconds(draw(2500));
+    bool IsAnswerLost = Fault == 3;
+    Duration AnswerAfter = microseconds(100 + draw(8000));
+    m_Timers.subscribe(
+        ExecutedAfter, [this, Call, Answer, IsAnswerLost, AnswerAfter] {
+          checkLease();
+          Reply Value = Call();
+          if (!IsAnswerLost)
+            m_Timers.subscribe(AnswerAfter, [Answer, Value] { Answer(Value); });
+        });
+  }
+
+  OrderReply executeStart(const StartOrder &Order) {
+    if (Order.m_Target.m_FencingToken < m_Token)
+      return {OrderOutcome::Fenced, now()};
+    m_Token = Order.m_Target.m_FencingToken;
+    m_LeaseUntil = std::max(m_LeaseUntil, Order.m_LeaseUntil);
+    if (m_Running.count(Order.m_Run))
+      return {OrderOutcome::Done, now()};
+    std::uint32_t &Highest = m_HighestEnded[Order.m_Run.m_Task];
+    if (Order.m_Run.m_Run <= Highest)
+      return {OrderOutcome::StaleRun, now()};
+    if (now() >= m_LeaseUntil)
+      return {OrderOutcome::LeaseExpired, now()};
+    m_Running.insert(Order.m_Run);
+    ++m_StartCount;
+    std::int64_t Used = 0;
+    for (const RunId &Run : m_Running)
+      Used += m_MilliCoresOf(Run);
+    m_MostOverCapacity =
+        std::max(m_MostOverCapacity, Used - m_CapacityMilliCores);
+    return {OrderOutcome::Done, now()};
+  }
+
+  OrderReply executeStop(const StopOrder &Order) {
+    if (Order.m_Target.m_FencingToken < m_Token)
+      return {OrderOutcome::Fenced, now()};
+    m_Token = Order.m_Target.m_FencingToken;
+    if (m_Running.count(Order.m_Run))
+      end(Order.m_Run, RunOutcome::Stopped);
+    std::uint32_t &Highest = m_HighestEnded[Order.m_Run.m_Task];
+    Highest = std::max(Highest, Order.m_Run.m_Run);
+    return {OrderOutcome::Done, now()};
+  }
+
+  HoldReply executeHold(const HoldOrder &Order) {
+    HoldReply Reply;
+    Reply.m_Clock = now();
+    Reply.m_Outcome = OrderOutcome::Fenced;
+    if (Order.m_Target.m_FencingToken < m_Token)
+      return Reply;
+    m_Token = Order.m_Target.m_FencingToken;
+    m_LeaseUntil = std::max(m_LeaseUntil, Order.m_LeaseUntil);
+    m_LastSeen = std::max(m_LastSeen, Order.m_LastEndNumber);
+    Reply.m_Outcome = OrderOutcome::Done;
+    for (const RunId &Run : m_Running)
+      Reply.m_Running.push_back({Run, 50});
+    for (const EndedRun &Ended : m_Ended)
+      if (Ended.m_Number > m_LastSeen)
+        Reply.m_Ended.push_back(Ended);
+    return Reply;
+  }
+
+  void end(const RunId &Run, RunOutcome Outcome) {
+    std::uint32_t &Highest = m_HighestEnded[Run.m_Task];
+    Highest = std::max(Highest, Run.m_Run);
+    m_Ended.push_back({++m_LastEndNumber, Run, Outcome});
+    m_Running.erase(RunId(Run));
+  }
+
+  ManualTimerService &m_Timers;
+  std::mt19937 m_Random;
+  std::uint64_t m_Token = 0;
+  Duration m_LeaseUntil{};
+  std::uint64_t m_LastSeen = 0;
+  std::uint64_t m_LastEndNumber = 0;
+  std::set<RunId> m_Running;
+  std::vector<EndedRun> m_Ended;
+  std::map<std::string, std::uint32_t> m_HighestEnded;
+};
+
+} // namespace cyclamenwalk
+
+#endif // CYCLAMENWALK_WORKER_TESTS_MOCKS_BACKENDSERVERMODEL_H
