Capacity property also restarts the agent, sets its clock back and pauses

Orders of an earlier life of the agent, with a token above that of the new one, are still on their way then.

--- a/packages/worker/tests/capacityproperty_test.cpp
+++ b/packages/worker/tests/capacityproperty_test.cpp
@@ -20,17 +20,12 @@
 /// two entries that place, stop and send again jobs of a few names.
 class Scenario {
 public:
-  explicit Scenario(std::uint32_t Seed)
-      : m_Server(m_Timers, Seed),
-        m_Worker(makeWorkerService(
-            WorkerSettings{}, {m_Charts, m_Links, m_Server, m_Timers, m_Metrics,
-                               [this] { return makeToken(); }})) {
+  explicit Scenario(std::uint32_t Seed) : m_Server(m_Timers, Seed) {
     m_Server.m_CapacityMilliCores = CapacityMilliCores;
     m_Server.m_MilliCoresOf = [](const RunId &Run) {
       return milliCoresOf(Run.m_Task.substr(0, Run.m_Task.find('.')));
     };
-    m_Worker->entryUp(Entry);
-    m_Worker->entryUp(OtherEntry);
+    startAgent();
   }
 
   void play(int Steps) {
@@ -69,9 +64,22 @@
     return 2000 + 450 * static_cast<std::int64_t>(Job.back() - 'a');
   }
 
-  std::uint64_t makeToken() const {
-    return static_cast<std::uint64_t>(
-        toMilliseconds(m_Timers.now().time_since_epoch()));
+  /// Starts the agent, or replaces it by a new life that knows nothing.
+  void startAgent() {
+    m_Worker.reset();
+    m_Worker = makeWorkerService(WorkerSettings{},
+                                 {m_Charts, m_Links, m_Server, m_Timers,
+                                  m_Metrics, [this] { return makeToken(); }});
+    m_Worker->entryUp(Entry);
+    m_Worker->entryUp(OtherEntry);
+    announce();
+  }
+
+  /// From a time of day that is set back and forth by seconds.
+  std::uint64_t makeToken() {
+    auto Time =
+        m_Timers.now().time_since_epoch() + milliseconds(m_Server.draw(8000));
+    return static_cast<std::uint64_t>(toMilliseconds(Time));
   }
 
   void announce() {
@@ -94,13 +102,17 @@
       m_Server.endRandomRun();
     else if (Action == 8 && m_Server.draw(10) == 0)
       m_Server.m_IsFaulty = !m_Server.m_IsFaulty;
+    else if (Action == 9 && m_Server.draw(10) == 0)
+      m_Timers.pause(milliseconds(m_Server.draw(2500)));
+    else if (Action == 9 && m_Server.draw(10) == 0)
+      startAgent();
   }
 
   void place(const Peer &From) {
     PlaceTasks Body;
     Body.m_Job = {From.m_Incarnation, ++m_LastJob};
-    Body.m_Name = std::string("job-") +
-                  static_cast<char>('a' + m_Server.draw(JobNames));
+    Body.m_Name =
+        std::string("job-") + static_cast<char>('a' + m_Server.draw(JobNames));
     Body.m_Service = "gatepost";
     Body.m_Required = {milliCoresOf(Body.m_Name), 64, 0};
     Body.m_ExpectedRunTime = milliseconds(100);
