--- a/packages/forward/internal/forwardingservice.cpp
+++ b/packages/forward/internal/forwardingservice.cpp
@@ -173,7 +173,9 @@
 }
 
 std::size_t ForwardingService::running() const {
-  return m_JobsByName.size() + m_Dependencies.m_Jobs.running();
+  // A process that exits too early would lose answers on their way.
+  std::size_t Answering = m_OwnedJobs.hasRecentAnswers() ? 1 : 0;
+  return m_JobsByName.size() + m_Dependencies.m_Jobs.running() + Answering;
 }
 
 void ForwardingService::cancelAtOwner(ForwardedJob &Job) {
--- a/packages/forward/internal/ownedjobs.cpp
+++ b/packages/forward/internal/ownedjobs.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr Duration DrainingRetryAfter = seconds(1);
+/// An answer has arrived after this time, unless its link has stalled.
+constexpr Duration AnswerFlushTime = milliseconds(300);
 
 } // namespace
 
@@ -71,7 +73,12 @@
     m_Jobs.erase({Job->m_Forwarder, Job->m_Request});
 }
 
+bool OwnedJobs::hasRecentAnswers() const {
+  return m_Dependencies.m_Timers.now() - m_LastAnswerAt < AnswerFlushTime;
+}
+
 void OwnedJobs::sendAnswer(const OwnedJob &Job) {
+  m_LastAnswerAt = m_Dependencies.m_Timers.now();
   Duration RetryAfter = Job.m_Answer.m_RetryAfter.value_or(Duration::zero());
   m_Dependencies.m_Links.send(
       Job.m_Forwarder, ForwardedJobAnswer{Job.m_Request, Job.m_Answer.m_Code,
--- a/packages/forward/internal/ownedjobs.h
+++ b/packages/forward/internal/ownedjobs.h
@@ -36,6 +36,9 @@
   /// Refuses new jobs from now on.
   void drain() { m_IsDraining = true; }
 
+  /// Whether an answer may not have arrived yet.
+  bool hasRecentAnswers() const;
+
 private:
   struct OwnedJob {
     OwnedJobState m_State = OwnedJobState::Running;
@@ -57,6 +60,7 @@
   const Chart m_Chart;
   std::map<Key, JobPointer> m_Jobs;
   bool m_IsDraining = false;
+  TimePoint m_LastAnswerAt;
 };
 
 } // namespace cyclamenwalk
--- a/packages/forward/tests/forwardingservice_test.cpp
+++ b/packages/forward/tests/forwardingservice_test.cpp
@@ -232,6 +232,16 @@
   EXPECT_TRUE(m_Jobs.m_Submitted.empty());
 }
 
+TEST_F(ForwardingServiceTest, IsNotIdleWhileAnAnswerIsOnItsWay) {
+  m_Forwarding->entryUp(entry(FirstPlacer));
+  receive(FirstPlacer, ForwardJob{7, spec("b1")});
+  m_Forwarding->drain();
+  m_Jobs.answer(0, ResultCode::Ok);
+  EXPECT_EQ(m_Forwarding->running(), 1u);
+  m_Timers.advance(seconds(1));
+  EXPECT_EQ(m_Forwarding->running(), 0u);
+}
+
 TEST_F(ForwardingServiceTest, PlacesAgainElsewhereWhatADrainingOwnerRefused) {
   addPlacer(FirstPlacer, 500'000);
   submit();
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -116,7 +116,10 @@
   int I = processIndex(Process);
   bool IsEntry = isEntry(Process);
   std::ostringstream Text;
+  bool IsSmall =
+      IsEntry && I >= m_Options.m_EntryCount - m_Options.m_SmallEntryCount;
   Text << "[process]\nname = " << Process
+       << "\nprocessor_share = " << (IsSmall ? "0.1" : "1")
        << "\nfailure_domain = z\ncharts = " << CW_CHART_DIR
        << "\n[listen]\nmessages = "
        << address(IsEntry ? Port::EntryMessages : Port::AgentMessages, I)
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -17,6 +17,8 @@
   AddOption("seeds", options::value(&SeedCount),
             "number of seeds to run, counted up from the first");
   AddOption("entries", options::value(&Options.m_Fleet.m_EntryCount));
+  AddOption("small-entries", options::value(&Options.m_Fleet.m_SmallEntryCount),
+            "the last of the entries, which forward their jobs");
   AddOption("agents", options::value(&Options.m_Fleet.m_AgentCount));
   AddOption("port", options::value(&Options.m_Fleet.m_BasePort),
             "first port of a range of 2,000 on loopback");
