Doubtful runs, handlers that throw, and charts that change under a process

- A start that was refused as stale counted as not started.
The HTTP client sends an order again by itself when a kept connection is reset before any byte of the answer; a short task has ended by then, and was run once more, or its caller told that it had not run.
Such a run is doubtful until the lists of a later hold show its end or nothing.
- An exception of a request's handler reached the HTTP library, which is written in C, and ended the process; it costs the request now (500).
Charts are read once at the start, and an error of the program itself ends the process.

Each has a test that failed before (the HTTP one by ending the test program).

--- a/packages/agent/internal/agentprogram.cpp
+++ b/packages/agent/internal/agentprogram.cpp
@@ -79,6 +79,7 @@
   }
 
   void run() {
+    m_Charts.preload();
     m_Loop.tryPost([this] { start(); });
     m_Signals.start([this] { m_Loop.post([this] { m_Lifecycle.drain(); }); });
     m_Loop.run();
--- a/packages/core/controlloop.h
+++ b/packages/core/controlloop.h
@@ -10,7 +10,8 @@
 namespace cyclamenwalk {
 
 /// Event loop of the control thread: runs queued work and timers one at a time.
-/// Exceptions that they throw are logged.
+/// Exceptions that they throw are logged; run() passes on those that say that
+/// the program itself is wrong.
 class ControlLoop final : public IControlQueue, public ITimerService {
 public:
   static constexpr std::size_t DefaultCapacity = 65536;
--- a/packages/core/internal/controlloop.cpp
+++ b/packages/core/internal/controlloop.cpp
@@ -1,5 +1,6 @@
 #include "core/controlloop.h"
 
+#include "core/error.h"
 #include "core/internal/timertable.h"
 #include "core/log.h"
 
@@ -9,6 +10,27 @@
 
 namespace cyclamenwalk {
 
+namespace {
+
+/// Whether the program and its charts don't fit together, or it has found
+/// itself in a state that it excludes. Going on could do harm.
+bool isProgramError(ResultCode Code) {
+  switch (Code) {
+  case ResultCode::ChartUnreadable:
+  case ResultCode::ChartUnknownElement:
+  case ResultCode::ChartUnknownState:
+  case ResultCode::ChartUnreachableState:
+  case ResultCode::ChartUnboundHook:
+  case ResultCode::ChartNameMismatch:
+  case ResultCode::Internal:
+    return true;
+  default:
+    return false;
+  }
+}
+
+} // namespace
+
 class ControlLoop::Impl {
 public:
   explicit Impl(std::size_t Capacity) : m_Capacity(Capacity) {}
@@ -75,10 +97,16 @@
   }
 
   /// An exception costs the message or the timer call that threw it, not the
-  /// process. A broken invariant ends the process by std::terminate() instead.
+  /// process. An error of the program itself ends the process.
   template <typename Call> void catchErrors(Call Callback) {
     try {
       Callback();
+    } catch (const Error &Caught) {
+      if (isProgramError(Caught.code()))
+        throw;
+      logEvent(LogLevel::Error, "control.work_failed",
+               {{"code", static_cast<int>(Caught.code())},
+                {"detail", Caught.what()}});
     } catch (const std::exception &Caught) {
       logEvent(LogLevel::Error, "control.work_failed",
                {{"detail", Caught.what()}});
--- a/packages/core/tests/controlloop_test.cpp
+++ b/packages/core/tests/controlloop_test.cpp
@@ -1,4 +1,5 @@
 #include "core/controlloop.h"
+#include "core/error.h"
 
 #include <future>
 #include <gtest/gtest.h>
@@ -64,3 +65,10 @@
   Loop.run();
   EXPECT_EQ(Calls, (std::vector<int>{1, 2}));
 }
+
+TEST(ControlLoop, endsOnAnErrorOfTheProgramItself) {
+  ControlLoop Loop;
+  Loop.tryPost(
+      [] { throw Error(ResultCode::ChartNameMismatch, "a state is missing"); });
+  EXPECT_THROW(Loop.run(), Error);
+}
--- a/packages/http/internal/httpserver.cpp
+++ b/packages/http/internal/httpserver.cpp
@@ -1,6 +1,7 @@
 #include "http/httpserver.h"
 
 #include "core/error.h"
+#include "core/log.h"
 #include "http/internal/disconnectwatch.h"
 
 #include <arpa/inet.h>
@@ -37,6 +38,7 @@
   return Parsed;
 }
 
+constexpr int HttpInternalError = 500;
 constexpr std::size_t ConnectionStackBytes = 256 * 1024;
 
 /// The caller's address and port, which are unique among open connections.
@@ -219,15 +221,33 @@
     bool IsClosing = beginRequest();
     HttpRequest Request = toRequest(RawRequest);
     bool IsTooLarge = Request.m_Body.size() > m_Settings.m_BodyLimit;
-    HttpResponse Response = IsTooLarge && m_HandleTooLarge
-                                ? m_HandleTooLarge(Request)
-                                : Matched.m_HandleRequest(Request);
+    HttpResponse Response =
+        handle(IsTooLarge && m_HandleTooLarge ? m_HandleTooLarge
+                                              : Matched.m_HandleRequest,
+               Request);
     if (IsClosing)
       Response.m_Headers["Connection"] = "close";
     writeResponse(RawResponse, Response);
     endRequest();
   }
 
+  /// An exception must not reach the library, which is written in C. It costs
+  /// the request that threw it.
+  static HttpResponse handle(const Handler &HandleRequest,
+                             const HttpRequest &Request) {
+    try {
+      return HandleRequest(Request);
+    } catch (const std::exception &Caught) {
+      logEvent(LogLevel::Error, "http.handler_failed",
+               {{"method", Request.m_Method},
+                {"path", Request.m_Url},
+                {"detail", Caught.what()}});
+      HttpResponse Response;
+      Response.m_Status = HttpInternalError;
+      return Response;
+    }
+  }
+
   /// Whether the connection is to be closed after the response.
   bool beginRequest() {
     std::lock_guard<std::mutex> Lock(m_Mutex);
--- a/packages/http/tests/http_test.cpp
+++ b/packages/http/tests/http_test.cpp
@@ -24,6 +24,9 @@
                       Request.header("x-tag") + ":" + Request.m_Body;
     return Response;
   });
+  Server.route("POST", "/throw", [](const HttpRequest &) -> HttpResponse {
+    throw std::out_of_range("no such entry");
+  });
   Server.onBodyTooLarge([](const HttpRequest &) {
     HttpResponse Response;
     Response.m_Status = 413;
@@ -58,6 +61,8 @@
                 .m_Status,
             413);
   EXPECT_EQ(sendHttpRequest(post("/other", ""), seconds(5)).m_Status, 404);
+  EXPECT_EQ(sendHttpRequest(post("/throw", ""), seconds(5)).m_Status, 500);
+  EXPECT_EQ(sendHttpRequest(post("/echo/n", ""), seconds(5)).m_Status, 201);
   Server.stop(seconds(1));
   EXPECT_EQ(sendHttpRequest(post("/echo/n", ""), seconds(1)).m_Status, 0);
 }
--- a/packages/statechart/chart.h
+++ b/packages/statechart/chart.h
@@ -19,16 +19,13 @@
   /// errors.
   static Chart parse(const std::string &Text, const std::string &Name);
 
-  Chart(Chart &&) noexcept;
-  Chart &operator=(Chart &&) noexcept;
-  ~Chart();
-
   const ChartData &data() const;
 
 private:
   class Impl;
-  explicit Chart(std::unique_ptr<Impl> Data);
-  std::unique_ptr<Impl> m_Impl;
+  explicit Chart(std::shared_ptr<const Impl> Data);
+  /// Shared by copies; a chart does not change.
+  std::shared_ptr<const Impl> m_Impl;
 };
 
 } // namespace cyclamenwalk
--- a/packages/statechart/internal/chart.cpp
+++ b/packages/statechart/internal/chart.cpp
@@ -167,15 +167,12 @@
   ChartData m_Data;
 };
 
-Chart::Chart(std::unique_ptr<Impl> Data) : m_Impl(std::move(Data)) {}
-Chart::Chart(Chart &&) noexcept = default;
-Chart &Chart::operator=(Chart &&) noexcept = default;
-Chart::~Chart() = default;
+Chart::Chart(std::shared_ptr<const Impl> Data) : m_Impl(std::move(Data)) {}
 
 const ChartData &Chart::data() const { return m_Impl->m_Data; }
 
 Chart Chart::parse(const std::string &Text, const std::string &Name) {
-  auto Data = std::make_unique<Impl>();
+  auto Data = std::make_shared<Impl>();
   Data->m_Data = ChartParser(Name).parse(Text);
   return Chart(std::move(Data));
 }
--- a/packages/statechart/tests/chart_test.cpp
+++ b/packages/statechart/tests/chart_test.cpp
@@ -1,5 +1,10 @@
 #include "statechart/boundchart.h"
 
+#include "core/error.h"
+#include "statechart/chartfolder.h"
+
+#include <filesystem>
+#include <fstream>
 #include <gtest/gtest.h>
 
 using namespace cyclamenwalk;
@@ -107,3 +112,17 @@
       bindResult(replace(DoorChartText, "<onentry>", "<script/><onentry>")),
       ResultCode::ChartUnknownElement);
 }
+
+/// A release that is installed while a process runs must not change its charts.
+TEST(ChartFolder, keepsTheChartsThatWereLoadedAtTheStart) {
+  std::string Pattern =
+      (std::filesystem::temp_directory_path() / "charts-XXXXXX").string();
+  std::filesystem::path Path = mkdtemp(Pattern.data());
+  std::ofstream(Path / "door.scxml") << DoorChartText;
+  ChartFolder Folder(Path.string());
+  Folder.preload();
+  std::ofstream(Path / "door.scxml") << "changed";
+  EXPECT_EQ(Folder.chart("door").data().m_States.front(), "closed");
+  EXPECT_THROW(ChartFolder(Path.string()).preload(), Error);
+  std::filesystem::remove_all(Path);
+}
--- a/packages/worker/internal/run.h
+++ b/packages/worker/internal/run.h
@@ -14,6 +14,7 @@
   Waiting,
   Starting,
   Unconfirmed,
+  Doubtful,
   Running,
   Stopping,
   Ended
@@ -34,8 +35,9 @@
 };
 
 template <> struct ChartNames<RunState> {
-  static constexpr std::array<std::string_view, 6> Values{
-      "waiting", "starting", "unconfirmed", "running", "stopping", "ended"};
+  static constexpr std::array<std::string_view, 7> Values{
+      "waiting", "starting", "unconfirmed", "doubtful",
+      "running", "stopping", "ended"};
 };
 template <> struct ChartNames<RunEvent> {
   static constexpr std::array<std::string_view, 12> Values{
--- a/packages/worker/tests/mocks/backendcontrolfake.h
+++ b/packages/worker/tests/mocks/backendcontrolfake.h
@@ -14,6 +14,10 @@
 public:
   void start(StartOrder Order, std::function<void(OrderReply)> Done) override {
     m_Starts.push_back(Order);
+    if (m_RefusesAsStale) {
+      Done({OrderOutcome::StaleRun, m_Clock});
+      return;
+    }
     if (m_DelaysStarts) {
       m_DelayedStarts.push_back(Order);
       Done({OrderOutcome::Unanswered, {}});
@@ -81,6 +85,8 @@
   /// Whether start orders get no reply and take effect only when the test
   /// passes them from m_DelayedStarts to executeStart().
   bool m_DelaysStarts = false;
+  /// Whether start orders are refused because a run of the task has ended.
+  bool m_RefusesAsStale = false;
   std::uint64_t m_Token = 0;
   std::uint64_t m_LastEndNumber = 0;
   std::uint64_t m_Acknowledged = 0;
--- a/packages/worker/tests/mocks/backendservermodel.h
+++ b/packages/worker/tests/mocks/backendservermodel.h
@@ -22,8 +22,8 @@
       : m_Timers(Timers), m_Random(Seed) {}
 
   void start(StartOrder Order, std::function<void(OrderReply)> Done) override {
-    execute<OrderReply>(
-        [this, Order] { return executeStart(Order); }, Done, OrderTimeout);
+    execute<OrderReply>([this, Order] { return executeStart(Order); }, Done,
+                        OrderTimeout);
   }
 
   void stop(StopOrder Order, std::function<void(OrderReply)> Done) override {
@@ -71,7 +71,7 @@
 
   /// Executes \p Call after a network delay and passes its result to \p Done,
   /// or an unanswered one after \p Timeout. Faults: the order is executed late
-  /// or never, or its answer is lost.
+  /// or never, its answer is lost, or the client sends it twice.
   template <typename Reply>
   void execute(std::function<Reply()> Call, std::function<void(Reply)> Done,
                Duration Timeout, Duration Wait = {}) {
@@ -88,14 +88,20 @@
     if (Fault <= 2)
       ExecutedAfter += milliseconds(draw(2500));
     bool IsAnswerLost = Fault == 3;
+    bool IsSentTwice = Fault == 4;
     Duration AnswerAfter = microseconds(100 + draw(8000));
-    m_Timers.subscribe(
-        ExecutedAfter, [this, Call, Answer, IsAnswerLost, AnswerAfter] {
-          checkLease();
-          Reply Value = Call();
-          if (!IsAnswerLost)
-            m_Timers.subscribe(AnswerAfter, [Answer, Value] { Answer(Value); });
-        });
+    m_Timers.subscribe(ExecutedAfter, [this, Call, Answer, IsAnswerLost,
+                                       IsSentTwice, AnswerAfter] {
+      checkLease();
+      Reply Value = Call();
+      if (IsSentTwice) {
+        if (draw(2) == 0)
+          endRandomRun();
+        Value = Call();
+      }
+      if (!IsAnswerLost)
+        m_Timers.subscribe(AnswerAfter, [Answer, Value] { Answer(Value); });
+    });
   }
 
   OrderReply executeStart(const StartOrder &Order) {
--- a/packages/worker/tests/workerservice_test.cpp
+++ b/packages/worker/tests/workerservice_test.cpp
@@ -439,3 +439,30 @@
   m_Timers.advance(seconds(2));
   EXPECT_EQ(m_Links.m_Disconnected, std::vector{Entry.m_Incarnation});
 }
+
+TEST_F(WorkerServiceTest, StaleRunIsReportedOnceItsOrderIsVoid) {
+  serve();
+  m_Control.m_RefusesAsStale = true;
+  place(makePlacement(1));
+  EXPECT_TRUE(takeResults().empty());
+  m_Control.answerHolds();
+  auto Results = takeResults();
+  ASSERT_EQ(Results.size(), 1u);
+  EXPECT_EQ(Results[0].m_RunOutcome, RunOutcome::StaleRun);
+}
+
+/// A connection is reset after the server has taken a start order and before it
+/// has answered. The HTTP client sends the order again, and meets the end of
+/// the run that it has started.
+TEST_F(WorkerServiceTest, RunWhoseOrderWasSentTwiceIsNotTakenForNotStarted) {
+  serve();
+  m_Control.m_RefusesAsStale = true;
+  place(makePlacement(1));
+  ASSERT_EQ(m_Control.m_Starts.size(), 1u);
+  m_Control.executeStart(m_Control.m_Starts[0]);
+  m_Control.endRun(m_Control.m_Starts[0].m_Run, RunOutcome::Succeeded);
+  m_Control.answerHolds();
+  auto Results = takeResults();
+  ASSERT_EQ(Results.size(), 1u);
+  EXPECT_EQ(Results[0].m_RunOutcome, RunOutcome::Succeeded);
+}
