Agents keep the union of what entries tell them

Found by reading the change: an entry that has just started knows few others, and its list replaced that of the agents linked to it; after 2 s they would have released the links to all others, once at each restart of an entry. Entries are now added, and forgotten after ten attempts without a reply (longer than the lease of a member, so that entries tell of one that comes back). A link is released only after its entry was not selected for 3 s.

--- a/packages/membership/ientryselection.h
+++ b/packages/membership/ientryselection.h
@@ -19,6 +19,10 @@
   /// Replaces the list of entries by one that an entry or the store provided.
   virtual void setEntries(std::vector<EntryAddress> Entries) = 0;
 
+  /// Adds entries that another process knows, which may be few while that
+  /// process starts. They are forgotten when they don't reply for long.
+  virtual void addEntries(const std::vector<EntryAddress> &Entries) = 0;
+
   /// Agents of one group select the same entries, which then see all workers
   /// of the group. The group is the agent itself until it is set.
   virtual void setGroup(const std::string &Group) = 0;
--- a/packages/membership/internal/entryselection.cpp
+++ b/packages/membership/internal/entryselection.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 #include <xxhash.h>
 
 namespace cyclamenwalk {
@@ -36,10 +37,25 @@
   check();
 }
 
+void EntrySelection::addEntries(const std::vector<EntryAddress> &Entries) {
+  std::vector<EntryAddress> Union = m_Entries;
+  for (const EntryAddress &Entry : Entries) {
+    std::erase_if(Union, [&Entry](const EntryAddress &Known) {
+      return Known.m_Name == Entry.m_Name;
+    });
+    Union.push_back(Entry);
+  }
+  std::sort(Union.begin(), Union.end(),
+            [](const EntryAddress &Left, const EntryAddress &Right) {
+              return Left.m_Name < Right.m_Name;
+            });
+  setEntries(std::move(Union));
+}
+
 void EntrySelection::setGroup(const std::string &Group) { m_Group = Group; }
 
 void EntrySelection::linkUp(const Peer &Entry) {
-  m_Linked[Entry.m_Address] = {Entry.m_Incarnation, m_Timers.now()};
+  m_Linked[Entry.m_Address] = {Entry.m_Incarnation, std::nullopt};
   m_Backoffs.erase(Entry.m_Address);
 }
 
@@ -54,6 +70,11 @@
   Next.m_Delay = std::clamp(Next.m_Delay * 2, m_Settings.m_MinBackoff,
                             m_Settings.m_MaxBackoff);
   Next.m_Until = m_Timers.now() + Next.m_Delay;
+  if (++Next.m_Failures < m_Settings.m_MaxFailures)
+    return;
+  std::erase_if(m_Entries, [&Address](const EntryAddress &Entry) {
+    return Entry.m_Address == Address;
+  });
 }
 
 const std::vector<EntryAddress> &EntrySelection::entries() const {
@@ -113,20 +134,31 @@
 void EntrySelection::releaseOthers(const std::vector<std::string> &Selected) {
   if (!m_Hooks.m_ReleaseLink)
     return;
+  updateSelected(Selected);
   bool AreAllLinked = std::all_of(
       Selected.begin(), Selected.end(),
       [this](const std::string &Address) { return m_Linked.count(Address); });
-  if (!AreAllLinked || Selected.empty())
+  if (!AreAllLinked)
     return;
+  for (auto &Item : m_Linked) {
+    Linked &Link = Item.second;
+    bool IsDue =
+        Link.m_UnselectedSince &&
+        m_Timers.now() - *Link.m_UnselectedSince >= m_Settings.m_ReleaseDelay;
+    if (IsDue && !std::exchange(Link.m_IsReleased, true))
+      m_Hooks.m_ReleaseLink(Link.m_Entry);
+  }
+}
+
+void EntrySelection::updateSelected(const std::vector<std::string> &Selected) {
   for (auto &Item : m_Linked) {
     bool IsSelected = std::find(Selected.begin(), Selected.end(), Item.first) !=
                       Selected.end();
-    bool IsRecent =
-        m_Timers.now() - Item.second.m_Since < m_Settings.m_ReleaseDelay;
-    if (IsSelected || IsRecent || Item.second.m_IsReleased)
-      continue;
-    Item.second.m_IsReleased = true;
-    m_Hooks.m_ReleaseLink(Item.second.m_Entry);
+    auto &Since = Item.second.m_UnselectedSince;
+    if (IsSelected)
+      Since.reset();
+    else if (!Since)
+      Since = m_Timers.now();
   }
 }
 
--- a/packages/membership/internal/entryselection.h
+++ b/packages/membership/internal/entryselection.h
@@ -4,6 +4,7 @@
 #include "membership/membershipmodule.h"
 
 #include <map>
+#include <optional>
 
 namespace cyclamenwalk {
 
@@ -17,6 +18,7 @@
 
   void start() override;
   void setEntries(std::vector<EntryAddress> Entries) override;
+  void addEntries(const std::vector<EntryAddress> &Entries) override;
   void setGroup(const std::string &Group) override;
   void linkUp(const Peer &Entry) override;
   void linkDown(const Peer &Entry) override;
@@ -26,13 +28,15 @@
 private:
   struct Linked {
     Incarnation m_Entry;
-    TimePoint m_Since;
+    /// When the entry was no longer selected; empty while it is.
+    std::optional<TimePoint> m_UnselectedSince;
     bool m_IsReleased = false;
   };
 
   struct Backoff {
     TimePoint m_Until;
     Duration m_Delay{};
+    std::uint32_t m_Failures = 0;
   };
 
   void check();
@@ -41,6 +45,7 @@
   std::vector<std::string> selectAddresses() const;
   bool isBackingOff(const std::string &Address) const;
   void releaseOthers(const std::vector<std::string> &Selected);
+  void updateSelected(const std::vector<std::string> &Selected);
 
   const SelectionSettings m_Settings;
   const SelectionHooks m_Hooks;
--- a/packages/membership/internal/memberspread.cpp
+++ b/packages/membership/internal/memberspread.cpp
@@ -33,8 +33,9 @@
   void peerUp(const Peer &Other) {
     bool IsAgent = Other.m_Role == Role::Agent;
     (IsAgent ? m_Agents : m_Entries).insert(Other.m_Incarnation);
-    m_Links.send(Other.m_Incarnation,
-                 EntryList{IsAgent ? m_SentPlacers : m_SentMembers});
+    const auto &Known = IsAgent ? m_SentPlacers : m_SentMembers;
+    if (!Known.empty())
+      m_Links.send(Other.m_Incarnation, EntryList{Known});
   }
 
   void peerDown(const Peer &Other) {
--- a/packages/membership/membershipmodule.h
+++ b/packages/membership/membershipmodule.h
@@ -37,8 +37,12 @@
   /// maximum.
   Duration m_MinBackoff = seconds(1);
   Duration m_MaxBackoff = seconds(8);
-  /// A link to an entry that is not selected is kept for this time at least.
-  Duration m_ReleaseDelay = seconds(2);
+  /// An entry is forgotten after it did not reply this often in a row, which
+  /// takes longer than it remains a member at the other entries: they tell of
+  /// it again when it comes back.
+  std::uint32_t m_MaxFailures = 10;
+  /// A link is kept for this time after its entry is no longer selected.
+  Duration m_ReleaseDelay = seconds(3);
 };
 
 struct SelectionHooks {
