--- a/packages/forward/internal/forwardingservice.cpp
+++ b/packages/forward/internal/forwardingservice.cpp
@@ -202,9 +202,9 @@
     Callback(Job.m_Answer);
 }
 
+/// The caller holds the job, since its answer removes it from the table.
 void ForwardingService::fire(const JobPointer &Job, ForwardedJobEvent Event) {
-  JobPointer Held = Job;
-  m_Chart.fire(*Held, Event);
+  m_Chart.fire(*Job, Event);
 }
 
 ForwardingService::JobPointer
