--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -15,12 +15,12 @@
 
 struct FleetOptions {
   int m_EntryCount = 3;
-  /// The last of the entries, which are too small to place jobs while another
-  /// one can.
-  int m_SmallEntryCount = 1;
   int m_AgentCount = 6;
   /// First of a range of 2,000 ports on loopback.
   int m_BasePort = 10000;
+  /// The last of the entries, which are too small to place jobs while another
+  /// one can.
+  int m_SmallEntryCount = 1;
 };
 
 /// The programs of the platform and a store as separate processes, with runners
