Review case 2: a job that was refused has run

libcurl's own retry makes an executed start count as one that was never sent; the client gets 503 for it.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,15 +10,6 @@
 
 JOB = "5c0e7a21d94b36f8"
 TASK = JOB + ".0.0.0"
-# Long enough for the connection that replaces one that was reset.
-RESET_PERIOD = 0.01
-
-
-def add_proxies(site):
-    for agent in site.agents:
-        port = harness.free_ports(1)[0]
-        site.proxies[agent] = harness.Proxy(port, site.ports[agent]["app"])
-        site.announced[agent] = port
 
 
 def case(site, has_trouble):
@@ -30,10 +21,11 @@
     time.sleep(0.3)
     if has_trouble:
         site.record.note("proxy", "resets connections of " + agent)
-        count = site.proxies[agent].reset_connections(RESET_PERIOD)
+        count = site.proxies[agent].reset_connections(harness.RESET_PERIOD)
         site.record.note("proxy", "has reset %d, and those opened meanwhile" % count)
     client.join()
     return site.overlaps()
 
 
-harness.run_case(__file__, case, prepare=add_proxies, entries=3, agents=11)
+harness.run_case(__file__, case, prepare=harness.Site.add_proxies,
+                 entries=3, agents=11)
--- a/review/harness.py
+++ b/review/harness.py
@@ -21,6 +21,7 @@
 import tempfile
 import threading
 import time
+import traceback
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 REPOSITORY = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
@@ -35,6 +36,9 @@
 CANCEL = 3.0
 STOP_BOUND = 0.05
 
+# Long enough for the connection that replaces one that was reset.
+RESET_PERIOD = 0.01
+
 ROUTE_HOST = "gate.example"
 PREFIX = "/coin/"
 SERVICE = "gatepost"
@@ -355,6 +359,9 @@
         self._target = target
         self._lock = threading.Lock()
         self._open = set()
+        self._lost_call = None
+        # The connection whose answer is being lost.
+        self._muted = None
         self._listen()
 
     def _listen(self):
@@ -365,6 +372,11 @@
         threading.Thread(target=self._accept, args=(self._listener,),
                          daemon=True).start()
 
+    def lose_next_answer(self, path):
+        """After the next call of `path` was passed on, resets its connection in
+        place of the answer, and the connection that replaces it."""
+        self._lost_call = b"POST " + path.encode()
+
     def _accept(self, listener):
         while True:
             try:
@@ -383,7 +395,16 @@
     def _pump(self, source, target):
         try:
             while data := source.recv(65536):
-                target.sendall(data)
+                is_lost = self._lost_call and data.startswith(self._lost_call)
+                if is_lost:
+                    self._lost_call = None
+                    self._muted = source
+                if target is not self._muted:
+                    target.sendall(data)
+                if is_lost:
+                    # Time for the runner to carry the call out.
+                    time.sleep(0.003)
+                    self.reset_connections(RESET_PERIOD, source)
         except OSError:
             pass
         with self._lock:
@@ -395,20 +416,24 @@
             except OSError:
                 pass
 
-    def reset_connections(self, period):
-        """Resets the open connections, and for `period` seconds those that are
-        being opened. Returns the number of the former."""
+    def reset_connections(self, period, only=None):
+        """Resets the open connections, or just one of them, and for `period`
+        seconds those that are being opened. Returns the number of the former.
+        """
         # Without a listener the opening packet is answered with a reset.
         self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
         with self._lock:
-            found = list(self._open)
-            self._open.clear()
+            found = [only] if only else list(self._open)
+            self._open.difference_update(found)
         for connection in found:
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
-                                  struct.pack("ii", 1, 0))
-            # Wakes the thread that reads it; the reset is sent by close().
-            connection.shutdown(socket.SHUT_RD)
+            try:
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                      struct.pack("ii", 1, 0))
+                # Wakes the thread that reads it; close() sends the reset.
+                connection.shutdown(socket.SHUT_RD)
+            except OSError:
+                pass  # The agent has closed it.
             connection.close()
         time.sleep(period)
         self._listen()
@@ -471,6 +496,13 @@
                           "enforces-capacity": False, "standby": False}],
             "limits": {"max-header-bytes": 16384, "max-body-bytes": 262144}}))
 
+    def add_proxies(self):
+        """Puts a proxy between each agent and its runner."""
+        for agent in self.agents:
+            port = free_ports(1)[0]
+            self.proxies[agent] = Proxy(port, self.ports[agent]["app"])
+            self.announced[agent] = port
+
     def settings(self, name):
         """Fills in the template of the deploy file as the platform does."""
         is_entry = name in self.entries
@@ -687,6 +719,9 @@
     except CannotRun as caught:
         site.record.note("result", "cannot run: %s" % caught)
         print("cannot run: %s" % caught)
+    except Exception:
+        # Python's own exit status would be that of a broken rule.
+        traceback.print_exc()
     finally:
         site.close()
     sys.exit(status)
