--- a/review/harness.py
+++ b/review/harness.py
@@ -59,6 +59,8 @@
 
     def note(self, who, what):
         with self._lock:
+            if self._file.closed:
+                return
             self._file.write("%8.3f  %-12s %s\n" % (self.now(), who, what))
             self._file.flush()
 
