Models of an agent's control of runs and of the lease of a lost entry

run.pml: orders that are lost, answered late, carried out late or sent more than once, refused connections, fence and token, lists, lapse and rebirth. lease.pml: a caller that sends again after its entry was lost while the agent or the owner in a chain froze. Each mutant, such as a refused connection, a deregistration or an announcement taken for the server's end, a rejection believed, a stop timer taken for a proof and a lease beyond the proven life of the entry, is found.

--- a/models/check.sh
+++ b/models/check.sh
@@ -58,4 +58,14 @@
     report broken "$model" "$mutant"
   done
 done
+report holds run
+report holds run TWO_TASKS
+for mutant in $(mutants run); do
+  report broken run "$mutant"
+done
+report holds lease
+report holds lease CHAIN
+for mutant in $(mutants lease); do
+  report broken lease "$mutant" CHAIN
+done
 exit $status
--- a/scripts/checkmodels.py
+++ b/scripts/checkmodels.py
@@ -9,7 +9,7 @@
 SCXML = "{http://www.w3.org/2005/07/scxml}"
 MAPPED_CHARTS = {"task", "credit", "execution", "claim", "request", "apply",
                  "configuration", "backend", "process", "job",
-                 "forwardedjob", "ownedjob"}
+                 "forwardedjob", "ownedjob", "run", "session"}
 
 
 def transitions(chart):
