Soak: lost answers, refused connections, overlapping faults, leaving runners, cancels

The soak could not bring about what the users' record shows: calls whose answer is lost by a reset or an orderly close after they were carried out, followed by connections that are refused. The checker also counts memory, runs of one number at two runners and runs after a cancel, and tells of each run whether its order lost its answer or came late. The runner stand-in deviated from the protocol: a repeated start was refused as old, a stop of a run that isn't there left no trace, a stop with a lower token was answered 200, a lease was not taken from a start refused as old, late starts weren't refused, and leaving had no deregistration.

--- a/standins/runner/runnerstandin.h
+++ b/standins/runner/runnerstandin.h
@@ -6,11 +6,14 @@
 
 #include <condition_variable>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <mutex>
+#include <nlohmann/json_fwd.hpp>
 #include <random>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace cyclamenwalk {
@@ -61,6 +64,20 @@
   std::string m_Service = "gatepost";
   /// Address in the heartbeats; m_Listen if empty.
   std::string m_AnnouncedAddress;
+  /// Speed of the runner's clock relative to the steady clock.
+  double m_ClockRate = 1;
+  /// Called once the runner has ended after leave() and its port is closed.
+  std::function<void()> m_HandleEnd = [] {};
+};
+
+/// How a runner leaves.
+struct RunnerDeparture {
+  /// Between the acknowledgement of "draining" and the deregistration.
+  Duration m_DrainTime = milliseconds(2000);
+  /// Whether the runner gets no answer to its deregistration.
+  bool m_LosesAnswer = false;
+  /// How long the runner stays up without an answer.
+  Duration m_ExtraTime = milliseconds(3000);
 };
 
 /// Faults injected into a runner.
@@ -87,39 +104,56 @@
   /// affected.
   void setFault(const RunnerFault &Fault, std::uint32_t Seed);
 
-  /// Announces the state "draining" from the next heartbeat on.
-  void leave();
+  /// Announces the state "draining", deregisters later, and ends: all runs
+  /// terminate and the port is closed.
+  void leave(const RunnerDeparture &Departure = {});
+
+  /// Loses all runs without notice. Calls in progress and later ones do
+  /// nothing.
+  void crash();
 
-  /// Announced processor capacity.
+  /// Announced capacity.
   static constexpr std::int64_t MilliCores = 16000;
+  static constexpr std::int64_t MemoryMb = 32768;
 
 private:
   struct Run {
-    std::uint32_t m_Number = 0;
     std::string m_Spec;
     TimePoint m_StartedAt;
     TimePoint m_EndsAt;
+    /// When a stop takes effect.
+    TimePoint m_StopsAt = TimePoint::max();
   };
+  /// The name of a task and the number of the run.
+  using RunKey = std::pair<std::string, std::uint32_t>;
   struct RunEnd {
     std::uint64_t m_Sequence = 0;
-    std::string m_Task;
-    std::uint32_t m_Run = 0;
+    RunKey m_Run;
     std::string m_Outcome;
   };
 
   HttpResponse handleStart(const HttpRequest &Request);
   HttpResponse handleStop(const HttpRequest &Request);
   HttpResponse handleHold(const HttpRequest &Request);
-  bool acceptFencingToken(std::uint64_t FencingToken);
-  void extendLease(std::int64_t ExpiresAtClock);
-  std::int64_t clockMilliseconds() const;
-  void finish(const std::string &Task, const char *Outcome);
+  nlohmann::json listRunning() const;
+  nlohmann::json listFinished() const;
+  HttpResponse respond(int Status, const std::string &Reason = {}) const;
+  bool acceptFencingToken(const HttpRequest &Request);
+  /// Whether \p Request names another incarnation of the runner.
+  bool isMisdirected(const HttpRequest &Request) const;
+  void extendLease(Duration ExpiresAtClock);
+  Duration clock() const;
+  void finish(const RunKey &Key, const char *Outcome);
   void runTimer();
   void finishDueRuns(TimePoint Now);
   void sendHeartbeats();
+  bool sendHeartbeat(std::unique_lock<std::mutex> &Lock);
+  HttpRequest makeHeartbeat();
+  void deregister(std::unique_lock<std::mutex> &Lock);
+  void end(std::unique_lock<std::mutex> &Lock);
+  void loseRuns();
   bool drawFault(double Ratio);
-  ObservedRun makeObservedRun(const std::string &Task,
-                              const Run &Current) const;
+  ObservedRun makeObservedRun(const RunKey &Key, const Run &Current) const;
 
   const RunnerOptions m_Options;
   IRunObserver &m_Observer;
@@ -135,14 +169,17 @@
   std::condition_variable m_StateChanged;
   bool m_IsShuttingDown = false;
   bool m_IsDraining = false;
+  RunnerDeparture m_Departure;
   RunnerFault m_Fault;
   std::minstd_rand m_RandomEngine;
   std::uint64_t m_HighestToken = 0;
-  TimePoint m_LeaseExpiresAt;
+  /// On the runner's clock.
+  Duration m_LeaseExpiresAt{};
   std::uint64_t m_HeartbeatSequence = 0;
   std::uint64_t m_LastEndSequence = 0;
-  std::map<std::string, Run> m_ActiveRuns;
-  /// Number of the last finished run of each task; older runs are refused.
+  std::map<RunKey, Run> m_ActiveRuns;
+  /// The highest run of each task that was stopped or has ended; runs up to it
+  /// are refused.
   std::map<std::string, std::uint32_t> m_LastRunNumbers;
   /// Reported on each hold call until its "last-seen" covers them.
   std::vector<RunEnd> m_UnacknowledgedEnds;
--- a/tests/soak/faultplan.h
+++ b/tests/soak/faultplan.h
@@ -31,6 +31,25 @@
   StoreSlow,
   StoreReplyLost,
   StorePaused,
+  /// Half of the entries and agents at the same moment.
+  KillHalf,
+  /// About as long as a lease.
+  PauseAroundLease,
+  /// Two processes, or a process and a runner, shortly after each other.
+  KillThenPause,
+  PauseThenKill,
+  KillTwo,
+  PauseThenRunnerCrash,
+  /// All connections of a process, several times within some milliseconds.
+  ResetSeries,
+  /// Between an agent and its runner, or callers and an entry.
+  LoseAnswers,
+  CloseConnections,
+  LateCalls,
+  /// The runner gets no answer to its deregistration.
+  RunnerLeaveUnanswered,
+  /// Heartbeats of another writer under the id of a runner.
+  ForeignHeartbeat,
   Count
 };
 
@@ -53,15 +72,26 @@
   std::vector<std::string> m_Agents;
   Duration m_Length = seconds(20);
   std::uint32_t m_Seed = 1;
+  /// Names of the groups whose faults are drawn; empty for all.
+  std::vector<std::string> m_Groups = {};
+  /// Mean time from the start of one fault to the next.
+  Duration m_MeanGap = milliseconds(600);
 };
 
+/// The names of all groups of faults.
+std::vector<std::string> faultGroups();
+
 /// Returns random faults, sorted by their start. The first third of the run
-/// holds only maintenance; after that, faults of all kinds follow each other
-/// and overlap. The same options give the same plan.
+/// holds only maintenance, if all groups are drawn; after that, faults follow
+/// each other and overlap. The same options give the same plan. Throws
+/// std::invalid_argument for an unknown group.
 std::vector<ScheduledFault> generateFaultPlan(const FaultPlanOptions &Options);
 
 bool isMaintenance(FaultKind Kind);
 
+/// Whether the fault strikes a runner and not the process that it names.
+bool isRunnerFault(FaultKind Kind);
+
 } // namespace cyclamenwalk
 
 #endif // CYCLAMENWALK_TESTS_SOAK_FAULTPLAN_H
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -19,6 +19,9 @@
 constexpr Duration HttpTimeout = seconds(1);
 constexpr Duration PollPeriod = milliseconds(50);
 constexpr Duration KillTimeout = seconds(5);
+/// A paused agent must not hold up the faults.
+constexpr Duration ForeignHeartbeatTimeout = milliseconds(100);
+constexpr double SlowClockRate = 0.98;
 constexpr int HttpOk = 200;
 
 std::string processName(const std::string &Kind, int Index) {
@@ -59,8 +62,10 @@
 
 } // namespace
 
-Fleet::Fleet(FleetOptions Options, IRunObserver &Observer)
-    : m_Options(Options), m_Observer(Observer) {
+Fleet::Fleet(FleetOptions Options, IRunObserver &Observer,
+             OrderObserver ObserveOrder)
+    : m_Options(Options), m_Observer(Observer),
+      m_ObserveOrder(std::move(ObserveOrder)) {
   std::string Pattern =
       (std::filesystem::temp_directory_path() / "soak-XXXXXX").string();
   m_Folder = mkdtemp(Pattern.data());
@@ -77,14 +82,18 @@
   for (int I = 0; I < m_Options.m_AgentCount; ++I) {
     std::string Name = processName("agent", I);
     addProxy(Name, Port::AgentMessagesProxy, Port::AgentMessages, I);
-    addProxy(Name, Port::RunnerProxy, Port::Runner, I);
+    m_RunnerProxies.push_back(&addProxy(Name, Port::RunnerProxy, Port::Runner,
+                                        I, observeOrdersOf(I)));
     start(Name);
     m_Runners.emplace_back();
     startRunner(I);
   }
 }
 
-Fleet::~Fleet() { m_Processes.clear(); }
+Fleet::~Fleet() {
+  m_Processes.clear();
+  m_Runners.clear();
+}
 
 std::vector<std::string> Fleet::entries() const {
   return processNames("entry", m_Options.m_EntryCount);
@@ -99,10 +108,26 @@
          std::to_string(m_Options.m_BasePort + static_cast<int>(Kind) + Index);
 }
 
-void Fleet::addProxy(const std::string &Process, Port Listen, Port Target,
-                     int Index) {
+FaultProxy &Fleet::addProxy(const std::string &Process, Port Listen,
+                            Port Target, int Index, CallObserver Observer) {
   m_Proxies[Process].push_back(std::make_unique<FaultProxy>(
-      address(Listen, Index), address(Target, Index)));
+      address(Listen, Index), address(Target, Index), std::move(Observer)));
+  return *m_Proxies[Process].back();
+}
+
+CallObserver Fleet::observeOrdersOf(int Runner) {
+  return [this, Runner](const std::string &Call, CallFate Fate) {
+    if (!m_ObserveOrder || Call.rfind("POST /run-start ", 0) != 0)
+      return;
+    auto BodyStart = Call.find("\r\n\r\n");
+    if (BodyStart == std::string::npos)
+      return;
+    Json Body = Json::parse(Call.substr(BodyStart), nullptr, false);
+    if (Body.is_object())
+      m_ObserveOrder({"i-" + std::to_string(Runner), Body.value("task", ""),
+                      Body.value("run", 0u), ""},
+                     Fate);
+  };
 }
 
 std::vector<FaultProxy *> Fleet::proxiesOf(const std::string &Process) {
@@ -174,14 +199,69 @@
   Options.m_Listen = address(Port::Runner, Index);
   Options.m_Agent = address(Port::AgentCalls, Index);
   Options.m_AnnouncedAddress = address(Port::RunnerProxy, Index);
+  Options.m_ClockRate = Index % 2 == 0 ? 1 : SlowClockRate;
+  Options.m_HandleEnd = [Proxy = m_RunnerProxies.at(Index)] {
+    Proxy->setPortClosed(true);
+  };
   m_Runners.at(Index) = std::make_unique<RunnerStandin>(Options, m_Observer);
+  m_RunnerProxies.at(Index)->setPortClosed(false);
 }
 
-void Fleet::restartRunner(int Index) {
+void Fleet::crashRunner(int Index, bool IsPortClosed) {
+  m_Runners.at(Index)->crash();
+  m_RunnerProxies.at(Index)->setPortClosed(IsPortClosed);
+  m_RunnerProxies.at(Index)->resetConnections();
   m_Runners.at(Index).reset();
+}
+
+void Fleet::restartRunner(int Index) {
+  if (m_Runners.at(Index))
+    crashRunner(Index, true);
   startRunner(Index);
 }
 
+void Fleet::sendForeignHeartbeat(int Agent, ForeignHeartbeat Variant) const {
+  auto Now = std::chrono::duration_cast<milliseconds>(
+                 std::chrono::system_clock::now().time_since_epoch())
+                 .count();
+  Json Body{{"service", "gatepost"},
+            {"address", address(Port::RunnerProxy, Agent)},
+            {"state", "ready"},
+            {"capacity",
+             {{"cpu", RunnerStandin::MilliCores},
+              {"mem-mb", RunnerStandin::MemoryMb},
+              {"gpu", 0}}},
+            {"labels", {"a", "r1"}},
+            {"clock-ms", 1},
+            {"born", Now},
+            {"sequence", 1}};
+  switch (Variant) {
+  case ForeignHeartbeat::UnknownService:
+    Body["service"] = "unheard-of";
+    break;
+  case ForeignHeartbeat::UnknownState:
+    Body["state"] = "resting";
+    break;
+  case ForeignHeartbeat::MissingFields:
+    Body.erase("address");
+    Body.erase("capacity");
+    break;
+  case ForeignHeartbeat::WrongTypes:
+    Body["capacity"] = "large";
+    Body["born"] = "late";
+    break;
+  default:
+    break;
+  }
+  HttpRequest Request;
+  Request.m_Method = "POST";
+  Request.m_Url = "http://" + address(Port::AgentCalls, Agent) +
+                  "/Instances.Heartbeat/i-" + std::to_string(Agent);
+  Request.m_Body =
+      Variant == ForeignHeartbeat::Unreadable ? "\x01{\xff" : Body.dump();
+  sendHttpRequest(Request, ForeignHeartbeatTimeout);
+}
+
 std::string Fleet::callAddress(int Entry) const {
   return address(Port::EntryCallsProxy, Entry);
 }
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -6,6 +6,7 @@
 #include "soak/faultproxy.h"
 #include "support/childprocess.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -23,11 +24,26 @@
   int m_SmallEntryCount = 1;
 };
 
+/// What another writer may send under the id of a runner in use; all but the
+/// first name no runner to use.
+enum class ForeignHeartbeat {
+  LaterBorn,
+  UnknownService,
+  UnknownState,
+  MissingFields,
+  WrongTypes,
+  Unreadable
+};
+
+/// Learns of the start orders whose answers were lost or that came late.
+using OrderObserver = std::function<void(const ObservedRun &, CallFate)>;
+
 /// The programs of the platform and a store as separate processes, with runners
 /// in this process. Every connection between them goes through a FaultProxy.
 class Fleet {
 public:
-  Fleet(FleetOptions Options, IRunObserver &Observer);
+  Fleet(FleetOptions Options, IRunObserver &Observer,
+        OrderObserver ObserveOrder);
   ~Fleet();
 
   const FleetOptions &options() const { return m_Options; }
@@ -43,10 +59,13 @@
   /// See ChildProcess::wait().
   int wait(const std::string &Process, Duration Timeout);
 
-  /// Stops a runner without notice to its agent and starts a new one with the
-  /// same id.
+  /// Ends a runner without notice to its agent; connections to its port are
+  /// refused, or accepted and reset.
+  void crashRunner(int Index, bool IsPortClosed);
+  /// Starts a new runner with the same id; ends the earlier one if it is up.
   void restartRunner(int Index);
   RunnerStandin &runner(int Index) { return *m_Runners.at(Index); }
+  void sendForeignHeartbeat(int Agent, ForeignHeartbeat Variant) const;
 
   /// The proxies in front of the ports of a process.
   std::vector<FaultProxy *> proxiesOf(const std::string &Process);
@@ -85,16 +104,19 @@
   };
 
   std::string address(Port Kind, int Index = 0) const;
-  void addProxy(const std::string &Process, Port Listen, Port Target,
-                int Index = 0);
+  FaultProxy &addProxy(const std::string &Process, Port Listen, Port Target,
+                       int Index = 0, CallObserver Observer = {});
+  CallObserver observeOrdersOf(int Runner);
   std::string formatSettings(const std::string &Process) const;
   void startRunner(int Index);
 
   const FleetOptions m_Options;
   IRunObserver &m_Observer;
+  OrderObserver m_ObserveOrder;
   std::string m_Folder;
   std::map<std::string, std::vector<std::unique_ptr<FaultProxy>>> m_Proxies;
   std::map<std::string, std::unique_ptr<ChildProcess>> m_Processes;
+  std::vector<FaultProxy *> m_RunnerProxies;
   std::vector<std::unique_ptr<RunnerStandin>> m_Runners;
 };
 
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -1,11 +1,9 @@
 #include "soak/soak.h"
 
 #include "http/blockinghttp.h"
-#include "soak/faultplan.h"
+#include "soak/faultinjector.h"
 
 #include <atomic>
-#include <csignal>
-#include <map>
 #include <sstream>
 #include <thread>
 
@@ -21,210 +19,12 @@
 constexpr Duration MeasurementLength = seconds(4);
 constexpr Duration ProbePeriod = milliseconds(300);
 constexpr Duration ProbeTimeout = seconds(1);
-constexpr Duration LinkDelay = milliseconds(120);
-constexpr Duration LateOrderDelay = milliseconds(900);
-constexpr double RunnerFaultRatio = 0.5;
 /// Minimum ratio of completed to sent jobs after the recovery.
 constexpr double MinCompletedRatio = 0.8;
 constexpr int HttpOk = 200;
 constexpr int HttpNotFound = 404;
 constexpr int HttpUnavailable = 503;
 
-/// Generates a fault plan and carries it out on a fleet.
-class FaultInjector {
-public:
-  FaultInjector(const SoakOptions &Options, Fleet &TestFleet,
-                SoakCallers &Callers, SoakChecker &Checker)
-      : m_Options(Options), m_Fleet(TestFleet), m_Callers(Callers),
-        m_Checker(Checker) {}
-
-  std::vector<std::string> run() {
-    std::vector<ScheduledFault> Plan =
-        generateFaultPlan({m_Fleet.entries(), m_Fleet.agents(),
-                           m_Options.m_Length, m_Options.m_Seed});
-    std::multimap<Duration, std::function<void()>> Actions;
-    std::vector<std::string> Descriptions;
-    for (const ScheduledFault &Fault : Plan) {
-      Actions.emplace(Fault.m_Start, [this, Fault] { startFault(Fault); });
-      Actions.emplace(Fault.end(), [this, Fault] { endFault(Fault); });
-      Descriptions.push_back(describe(Fault));
-    }
-    TimePoint Start = Clock::now();
-    for (const auto &Action : Actions) {
-      std::this_thread::sleep_for(Start + Action.first - Clock::now());
-      Action.second();
-    }
-    return Descriptions;
-  }
-
-  /// Writes the next version of the configuration; false when the store refuses
-  /// it.
-  bool changeConfiguration() {
-    bool IsWritten = m_Fleet.writeConfiguration(m_Version + 1);
-    if (IsWritten)
-      ++m_Version;
-    return IsWritten;
-  }
-
-  std::uint64_t version() const { return m_Version; }
-
-  int restarts(const std::string &Process) const {
-    std::lock_guard<std::mutex> Lock(m_Mutex);
-    auto It = m_Restarts.find(Process);
-    return It == m_Restarts.end() ? 0 : It->second;
-  }
-
-private:
-  static std::string describe(const ScheduledFault &Fault) {
-    std::ostringstream Text;
-    Text << toMilliseconds(Fault.m_Start) << " to "
-         << toMilliseconds(Fault.end()) << " ms: " << nameOf(Fault.m_Kind)
-         << " " << Fault.m_Target;
-    return Text.str();
-  }
-
-  static int processIndex(const std::string &Process) {
-    return std::stoi(Process.substr(Process.find('-') + 1));
-  }
-
-  static bool isEntry(const std::string &Process) {
-    return Process.rfind("entry-", 0) == 0;
-  }
-
-  RunnerStandin &runner(const ScheduledFault &Fault) {
-    return m_Fleet.runner(processIndex(Fault.m_Target));
-  }
-
-  void setProxyFault(const std::string &Process, const ProxyFault &Fault) {
-    for (FaultProxy *Proxy : m_Fleet.proxiesOf(Process))
-      Proxy->setFault(Fault);
-  }
-
-  void setRunnerFault(const ScheduledFault &Fault,
-                      const RunnerFault &NewFault) {
-    runner(Fault).setFault(NewFault, m_Options.m_Seed);
-  }
-
-  void startFault(const ScheduledFault &Fault) {
-    if (!isMaintenance(Fault.m_Kind))
-      m_HasInjectedFailure = true;
-    const std::string &Target = Fault.m_Target;
-    switch (Fault.m_Kind) {
-    case FaultKind::StopProcess:
-      if (isEntry(Target) && !m_HasInjectedFailure)
-        m_Callers.setGracefulStop(processIndex(Target), true);
-      return m_Fleet.signal(Target, SIGTERM);
-    case FaultKind::ChangeConfiguration:
-      // If the write fails, the next change writes the same version again.
-      changeConfiguration();
-      return;
-    case FaultKind::RunnerLeave:
-      return runner(Fault).leave();
-    case FaultKind::KillProcess:
-      return m_Fleet.kill(Target);
-    case FaultKind::PauseProcess:
-    case FaultKind::StorePaused:
-      return m_Fleet.signal(Target, SIGSTOP);
-    case FaultKind::DelayTraffic:
-      return setProxyFault(Target, {LinkDelay, false, false});
-    case FaultKind::BlockInbound:
-      return setProxyFault(Target, {{}, true, false});
-    case FaultKind::BlockOutbound:
-      return setProxyFault(Target, {{}, false, true});
-    case FaultKind::BlockBothWays:
-      return setProxyFault(Target, {{}, true, true});
-    case FaultKind::ResetConnections:
-    case FaultKind::BlackholeConnections:
-      return disturbConnections(Fault);
-    case FaultKind::RunnerCrash:
-      return;
-    case FaultKind::RunnerFailures:
-      return setRunnerFault(Fault, {RunnerFaultRatio, 0, {}, false});
-    case FaultKind::RunnerHang:
-      return setRunnerFault(Fault, {0, 0, {}, true});
-    case FaultKind::RunnerDelay:
-      return setRunnerFault(Fault,
-                            {0, RunnerFaultRatio, LateOrderDelay, false});
-    case FaultKind::StoreDown:
-      return m_Fleet.setStoreFault("down");
-    case FaultKind::StoreSlow:
-      return m_Fleet.setStoreFault("slow");
-    case FaultKind::StoreReplyLost:
-      return m_Fleet.setStoreFault("reply_lost");
-    case FaultKind::Count:
-      return;
-    }
-  }
-
-  void endFault(const ScheduledFault &Fault) {
-    const std::string &Target = Fault.m_Target;
-    switch (Fault.m_Kind) {
-    case FaultKind::StopProcess:
-      if (m_Fleet.wait(Target, Duration::zero()) < 0 && !m_HasInjectedFailure)
-        m_Checker.reportViolation(
-            Target + " still ran " +
-            std::to_string(toMilliseconds(Fault.m_Length)) +
-            " ms after SIGTERM");
-      m_Fleet.kill(Target);
-      restart(Target);
-      if (isEntry(Target))
-        m_Callers.setGracefulStop(processIndex(Target), false);
-      return;
-    case FaultKind::KillProcess:
-      return restart(Target);
-    case FaultKind::PauseProcess:
-    case FaultKind::StorePaused:
-      return m_Fleet.signal(Target, SIGCONT);
-    case FaultKind::DelayTraffic:
-    case FaultKind::BlockInbound:
-    case FaultKind::BlockOutbound:
-    case FaultKind::BlockBothWays:
-      return setProxyFault(Target, {});
-    case FaultKind::RunnerLeave:
-    case FaultKind::RunnerCrash:
-      m_Fleet.restartRunner(processIndex(Target));
-      return m_Checker.recordReturn("i-" +
-                                    std::to_string(processIndex(Target)));
-    case FaultKind::RunnerFailures:
-    case FaultKind::RunnerHang:
-    case FaultKind::RunnerDelay:
-      return setRunnerFault(Fault, {});
-    case FaultKind::StoreDown:
-    case FaultKind::StoreSlow:
-    case FaultKind::StoreReplyLost:
-      return m_Fleet.setStoreFault("none");
-    default:
-      return;
-    }
-  }
-
-  void restart(const std::string &Process) {
-    {
-      std::lock_guard<std::mutex> Lock(m_Mutex);
-      ++m_Restarts[Process];
-    }
-    m_Fleet.start(Process);
-  }
-
-  void disturbConnections(const ScheduledFault &Fault) {
-    for (FaultProxy *Proxy : m_Fleet.proxiesOf(Fault.m_Target)) {
-      if (Fault.m_Kind == FaultKind::ResetConnections)
-        Proxy->resetConnections();
-      else
-        Proxy->blackholeConnections();
-    }
-  }
-
-  const SoakOptions &m_Options;
-  Fleet &m_Fleet;
-  SoakCallers &m_Callers;
-  SoakChecker &m_Checker;
-  bool m_HasInjectedFailure = false;
-  std::atomic<std::uint64_t> m_Version = 1;
-  mutable std::mutex m_Mutex;
-  std::map<std::string, int> m_Restarts;
-};
-
 /// Polls the entries for the routes of the last two configuration versions.
 class RouteMonitor {
 public:
@@ -314,13 +114,25 @@
                             " were expected");
 }
 
+std::vector<ScheduledFault> planFaults(const SoakOptions &Options,
+                                       const Fleet &TestFleet) {
+  if (Options.m_IsFaultFree)
+    return {};
+  return generateFaultPlan({TestFleet.entries(), TestFleet.agents(),
+                            Options.m_Length, Options.m_Seed,
+                            Options.m_FaultGroups, Options.m_MeanFaultGap});
+}
+
 } // namespace
 
 SoakResult runSoak(const SoakOptions &Options) {
   SoakResult Result;
   SoakChecker Checker;
   {
-    Fleet TestFleet(Options.m_Fleet, Checker);
+    Fleet TestFleet(Options.m_Fleet, Checker,
+                    [&Checker](const ObservedRun &Run, CallFate Fate) {
+                      Checker.recordOrder(Run, Fate);
+                    });
     Result.m_LogFolder = TestFleet.logFolder();
     if (!TestFleet.waitUntilReady(ReadyTimeout))
       Checker.reportViolation("not all entries are ready " +
@@ -329,21 +141,24 @@
     CallerOptions LoadOptions = Options.m_Callers;
     LoadOptions.m_Seed = Options.m_Seed;
     SoakCallers Callers(TestFleet, Checker, LoadOptions);
-    FaultInjector Injector(Options, TestFleet, Callers, Checker);
+    FaultInjector Injector(planFaults(Options, TestFleet), Options.m_Seed,
+                           TestFleet, Callers, Checker);
     RouteMonitor Monitor(TestFleet, Injector, Checker);
     if (Options.m_IsFaultFree)
       std::this_thread::sleep_for(Options.m_Length);
     else
       Result.m_Faults = Injector.run();
-    if (!Options.m_IsFaultFree)
+    if (!Options.m_IsFaultFree && Options.m_ChecksRecovery)
       checkRecovery(Options, TestFleet, Injector, Monitor, Checker);
     Callers.stop();
+    Checker.checkActiveRuns(Clock::now());
   }
   Result.m_Violations = Checker.violations();
   Result.m_Completed = Checker.answers(HttpOk);
   Result.m_Refused = Checker.answers(HttpUnavailable);
   Result.m_Unanswered = Checker.answers(0);
   Result.m_TaskStarts = Checker.starts();
+  Result.m_Cancellations = Checker.cancellations();
   return Result;
 }
 
@@ -354,7 +169,8 @@
                                        : "guarantees VIOLATED")
        << ", " << Result.m_Faults.size() << " faults, " << Result.m_Completed
        << " answered 200, " << Result.m_Refused << " refused, "
-       << Result.m_Unanswered << " without an answer, " << Result.m_TaskStarts
+       << Result.m_Unanswered << " without an answer, "
+       << Result.m_Cancellations << " cancelled, " << Result.m_TaskStarts
        << " task starts\n";
   if (Result.m_Violations.empty())
     return Text.str();
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -17,6 +17,11 @@
   Duration m_Length = seconds(20);
   /// Runs without faults and without the recovery check.
   bool m_IsFaultFree = false;
+  /// Whether the recovery after the faults is checked.
+  bool m_ChecksRecovery = true;
+  /// See FaultPlanOptions.
+  std::vector<std::string> m_FaultGroups;
+  Duration m_MeanFaultGap = milliseconds(600);
 };
 
 struct SoakResult {
@@ -28,6 +33,8 @@
   std::size_t m_Refused = 0;
   std::size_t m_Unanswered = 0;
   std::size_t m_TaskStarts = 0;
+  /// Cancellations answered with 2xx or 410.
+  std::size_t m_Cancellations = 0;
   std::string m_LogFolder;
 };
 
--- a/tests/soak/soakcallers.h
+++ b/tests/soak/soakcallers.h
@@ -14,12 +14,16 @@
   double m_JobsPerSecond = 20;
   /// Ratio of jobs whose caller disconnects early, to all jobs.
   double m_DisconnectRatio = 0.1;
+  /// Ratio of jobs that are cancelled at any entry, to all jobs.
+  double m_CancelRatio = 0.03;
+  /// Ratio of jobs with one or two tasks of up to three seconds.
+  double m_LongRatio = 0.06;
   std::uint32_t m_Seed = 1;
 };
 
 /// Generates load from a thread of its own over persistent connections. A job
-/// is sent again after a lost connection, 502 or 504. Every submission and
-/// answer is recorded in the checker.
+/// is sent again to another entry after a lost connection, 502 or 504. Every
+/// submission, cancellation and answer is recorded in the checker.
 class SoakCallers {
 public:
   SoakCallers(const Fleet &TestFleet, SoakChecker &Checker,
@@ -30,6 +34,9 @@
   /// accepted.
   void setGracefulStop(int Entry, bool IsStopping);
 
+  /// Called when an entry was started again; many cancellations go there.
+  void recordRestart(int Entry);
+
   /// Sends no further jobs and waits for the answers of those in progress.
   void stop();
 
