--- a/tests/soak/soakcallers.h
+++ b/tests/soak/soakcallers.h
@@ -16,8 +16,9 @@
   double m_DisconnectRatio = 0.1;
   /// Ratio of jobs that are cancelled at any entry, to all jobs.
   double m_CancelRatio = 0.03;
-  /// Ratio of jobs with one or two tasks of up to three seconds.
+  /// Ratio of jobs with one or two tasks of up to m_MaxLongTime.
   double m_LongRatio = 0.06;
+  Duration m_MaxLongTime = seconds(3);
   std::uint32_t m_Seed = 1;
 };
 
