--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -2,10 +2,9 @@
 
 #include "soak/faultplan.h"
 
-#include <boost/algorithm/string/classification.hpp>
-#include <boost/algorithm/string/split.hpp>
 #include <boost/program_options.hpp>
 #include <iostream>
+#include <sstream>
 
 using namespace cyclamenwalk;
 namespace options = boost::program_options;
@@ -19,6 +18,14 @@
   return Text;
 }
 
+std::vector<std::string> splitGroups(const std::string &Text) {
+  std::vector<std::string> Groups;
+  std::istringstream Stream(Text);
+  for (std::string Group; std::getline(Stream, Group, ',');)
+    Groups.push_back(Group);
+  return Groups;
+}
+
 } // namespace
 
 int main(int ArgumentCount, char **Arguments) {
@@ -71,8 +78,7 @@
   Options.m_MeanFaultGap = milliseconds(GapMilliseconds);
   Options.m_ChecksRecovery = !SkipsRecovery;
   Options.m_Callers.m_MaxLongTime = milliseconds(LongMilliseconds);
-  if (!Groups.empty())
-    boost::split(Options.m_FaultGroups, Groups, boost::is_any_of(","));
+  Options.m_FaultGroups = splitGroups(Groups);
   int FailedRuns = 0;
   for (std::uint32_t I = 0; I < SeedCount; ++I, ++Options.m_Seed) {
     SoakResult Result = runSoak(Options);
