--- a/tests/soak/faultplan.cpp
+++ b/tests/soak/faultplan.cpp
@@ -227,9 +227,11 @@
     case FaultKind::StoreReplyLost:
     case FaultKind::StorePaused:
       return "store";
+    case FaultKind::LateCalls:
+      // Only orders to runners may be carried out late.
+      return drawName(m_Options.m_Agents);
     case FaultKind::LoseAnswers:
     case FaultKind::CloseConnections:
-    case FaultKind::LateCalls:
     case FaultKind::ResetSeries:
       // Most calls go from agents to runners.
       return drawNumber(0, 3) == 0 ? drawName(m_Options.m_Entries)
