Log the evidence for each end of a run and loss of a server by name

run.ended and backend.lost carry evidence=NAME, run.start_failed and backend.hold_failed outcome=NAME.

--- a/packages/worker/internal/backendsession.cpp
+++ b/packages/worker/internal/backendsession.cpp
@@ -30,6 +30,11 @@
 /// Before this time a run's progress is too coarse for a forecast.
 constexpr Duration MinForecastTime = milliseconds(200);
 
+/// Requests that end runs before their start, as named in the log.
+constexpr std::string_view DropRequest = "returned_to_entry";
+constexpr std::string_view QueueTimeout = "queue_timeout";
+constexpr std::string_view StopRequest = "stop_request";
+
 double runTimeRatio(Duration Actual, Duration Expected) {
   double Quotient =
       static_cast<double>(Actual.count()) /
@@ -96,7 +101,7 @@
           m_Announcement.m_Address, m_Announcement.m_Instance, Settings,
           Dependencies,
           {[this](const ConfirmedReply &Confirmed) { receiveLists(Confirmed); },
-           [this](const std::string &Reason) { markLost(Reason); },
+           [this](const ServerEvidence &E) { markLost(E); },
            [this] { return m_Runs.activeCount() > 0; }}) {
   m_Context.m_State = m_Chart.initial();
   logEvent(LogLevel::Info, "backend.found",
@@ -156,7 +161,9 @@
   m_Hooks.m_Changed();
 }
 
-void BackendSession::fireRun(const RunPointer &Target, RunEvent Event) {
+void BackendSession::fireRun(const RunPointer &Target, RunEvent Event,
+                             std::string_view Evidence) {
+  Target->m_EndEvidence = Evidence;
   bool UsedResources = usesResources(*Target);
   m_RunChart.fire(*Target, Event);
   bool UsesResources = usesResources(*Target);
@@ -187,12 +194,13 @@
 
 void BackendSession::leave() { fire(SessionEvent::Leave); }
 
-void BackendSession::markLost(const std::string &Reason) {
+void BackendSession::markLost(const ServerEvidence &Evidence) {
   if (isGone())
     return;
+  m_LossEvidence = nameOf(Evidence);
   logEvent(LogLevel::Warning, "backend.lost",
            {{"instance", m_Announcement.m_Instance},
-            {"reason", Reason},
+            {"evidence", m_LossEvidence},
             {"runs", m_Runs.size()}});
   fire(SessionEvent::BackendLost);
 }
@@ -200,13 +208,13 @@
 void BackendSession::markRunsLost() {
   m_Server.close();
   for (const RunPointer &Lost : m_Runs.runs())
-    fireRun(Lost, RunEvent::BackendLost);
+    fireRun(Lost, RunEvent::BackendLost, m_LossEvidence);
 }
 
 /// Returns the waiting runs to their entries; other runs ignore the event.
 void BackendSession::dropWaitingRuns() {
   for (const RunPointer &Candidate : m_Runs.runs())
-    fireRun(Candidate, RunEvent::Expire);
+    fireRun(Candidate, RunEvent::Expire, DropRequest);
 }
 
 bool BackendSession::placeTask(const std::shared_ptr<const PlacedJob> &Job,
@@ -237,13 +245,13 @@
 
 void BackendSession::expireRun(const RunId &Id) {
   if (RunPointer Expired = m_Runs.find(Id))
-    fireRun(Expired, RunEvent::Expire);
+    fireRun(Expired, RunEvent::Expire, QueueTimeout);
 }
 
 void BackendSession::stopRuns(const std::function<bool(const Run &)> &Matches) {
   for (const RunPointer &Candidate : m_Runs.runs())
     if (Matches(*Candidate))
-      fireRun(Candidate, RunEvent::Stop);
+      fireRun(Candidate, RunEvent::Stop, StopRequest);
   startWaitingRuns();
 }
 
@@ -265,7 +273,7 @@
     // while the entry may already have given up the run.
     bool IsExpired =
         m_Timers.now() - Next->m_Job->m_PlacedAt >= m_Settings.m_MaxQueueTime;
-    fireRun(Next, IsExpired ? RunEvent::Expire : RunEvent::Start);
+    fireRun(Next, IsExpired ? RunEvent::Expire : RunEvent::Start, QueueTimeout);
   }
   m_Hooks.m_Changed();
 }
@@ -293,14 +301,15 @@
     logEvent(LogLevel::Warning, "run.start_failed",
              {{"task", Id.m_Task},
               {"run", Id.m_Run},
-              {"outcome", static_cast<int>(Reply.m_Outcome)},
+              {"outcome", nameOf(Reply.m_Outcome)},
               {"token", Token}});
   if (IsCurrent)
-    fireRun(Started, eventOf(Reply.m_Outcome));
+    fireRun(Started, eventOf(Reply.m_Outcome),
+            nameOf(RunEvidence(StartReplied{Reply.m_Outcome})));
   if (Reply.m_Outcome == OrderOutcome::Unreachable)
-    markLost("nothing listens at its address");
+    markLost(ConnectionRefused{});
   else if (Reply.m_Outcome == OrderOutcome::WrongInstance)
-    markLost("another instance replied");
+    markLost(OtherInstanceReplied{});
   else if (Reply.m_Outcome != OrderOutcome::Done)
     startWaitingRuns();
 }
@@ -331,6 +340,7 @@
            {{"task", Ended.m_Id.m_Task},
             {"run", Ended.m_Id.m_Run},
             {"outcome", nameOf(Outcome)},
+            {"evidence", Ended.m_EndEvidence},
             {"run_ms", toMilliseconds(RunTime)},
             {"waited_ms", toMilliseconds(m_Timers.now() - RunTime -
                                          Ended.m_Job->m_PlacedAt)},
@@ -379,7 +389,7 @@
       m_Announcement.m_InstanceStartedAt != Duration::zero() &&
       Reply.m_InstanceStartedAt != m_Announcement.m_InstanceStartedAt;
   if (IsOtherInstance)
-    return markLost("another instance with the same name replied");
+    return markLost(OwnStartTime{Reply.m_InstanceStartedAt});
   processEndedRuns(Reply);
   updateProgress(Reply);
   std::set<RunId> Listed;
@@ -388,7 +398,7 @@
   m_Orphans.clear();
   for (const RunId &Id : Listed) {
     if (RunPointer Found = m_Runs.find(Id))
-      fireRun(Found, RunEvent::Listed);
+      fireRun(Found, RunEvent::Listed, nameOf(RunEvidence(ListedRunning{})));
     else
       m_Orphans.push_back(Id);
   }
@@ -444,7 +454,7 @@
               {"progress_percent", Candidate->m_ProgressPercent},
               {"stalled_ms", toMilliseconds(Candidate->m_ProgressListedAt -
                                             Candidate->m_LastProgressAt)}});
-    fireRun(Candidate, RunEvent::Stop);
+    fireRun(Candidate, RunEvent::Stop, StopRequest);
   }
   if (!HasStalledRuns)
     return;
@@ -488,7 +498,7 @@
     if (!Ended)
       continue;
     Ended->m_RunOutcome = Listed.m_RunOutcome;
-    fireRun(Ended, RunEvent::Ended);
+    fireRun(Ended, RunEvent::Ended, nameOf(RunEvidence(ListedEnd{})));
   }
 }
 
@@ -504,7 +514,7 @@
     bool IsFenced = Candidate->m_State != RunState::Starting &&
                     Candidate->m_OrderToken < Confirmed.m_Token;
     if (HadStarted || IsFenced)
-      fireRun(Candidate, RunEvent::Missing);
+      fireRun(Candidate, RunEvent::Missing, nameOf(RunEvidence(NotListed{})));
   }
 }
 
--- a/packages/worker/internal/backendsession.h
+++ b/packages/worker/internal/backendsession.h
@@ -48,7 +48,7 @@
   void leave();
 
   /// The server is known to be gone, and all of its runs with it.
-  void markLost(const std::string &Reason);
+  void markLost(const ServerEvidence &Evidence);
 
   /// Takes over one run of a task. False if an earlier run of it has not ended,
   /// as when a caller sends a job again whose runs are still being stopped.
@@ -83,7 +83,9 @@
   RunChart bindRun(const IChartSource &Charts);
 
   void fire(SessionEvent Event);
-  void fireRun(const RunPointer &Target, RunEvent Event);
+  /// \p Evidence is logged if the run ends.
+  void fireRun(const RunPointer &Target, RunEvent Event,
+               std::string_view Evidence);
   void markRunsLost();
   void dropWaitingRuns();
   void stopOrphans();
@@ -117,6 +119,8 @@
   const SessionChart m_Chart;
   const RunChart m_RunChart;
   Context m_Context;
+  /// Name of the evidence for the loss of the server.
+  std::string_view m_LossEvidence;
   RunTable m_Runs;
   BackendHealth m_Health;
   ServerLink m_Server;
--- a/packages/worker/internal/run.h
+++ b/packages/worker/internal/run.h
@@ -83,6 +83,8 @@
   /// When the last stop order was sent; zero before.
   TimePoint m_StopSentAt;
   TimerId m_ExpiryTimer = 0;
+  /// What proved the end, or the request that ended the run before its start.
+  std::string_view m_EndEvidence;
   /// Valid in state Ended.
   RunOutcome m_RunOutcome = RunOutcome::NotStarted;
 };
--- a/packages/worker/internal/serverlink.cpp
+++ b/packages/worker/internal/serverlink.cpp
@@ -107,16 +107,16 @@
 void ServerLink::handleFailedHold(HoldPurpose Purpose, const HoldReply &Reply) {
   logEvent(LogLevel::Warning, "backend.hold_failed",
            {{"instance", m_Instance},
-            {"outcome", static_cast<int>(Reply.m_Outcome)},
+            {"outcome", nameOf(Reply.m_Outcome)},
             {"since_reply_ms", toMilliseconds(m_Timers.now() - m_LastReplyAt)},
             {"token", m_Token}});
   if (Reply.m_Outcome == OrderOutcome::Unreachable)
-    return m_Hooks.m_BackendLost("nothing listens at its address");
+    return m_Hooks.m_BackendLost(ConnectionRefused{});
   if (Reply.m_Outcome == OrderOutcome::WrongInstance)
-    return m_Hooks.m_BackendLost("another instance replied");
+    return m_Hooks.m_BackendLost(OtherInstanceReplied{});
   Duration MaxLeaseAge = m_Settings.m_Lease + m_Settings.m_LeaseMargin;
   if (m_Timers.now() - m_LeaseSentAt > MaxLeaseAge)
-    return m_Hooks.m_BackendLost("its lease expired without a reply");
+    return m_Hooks.m_BackendLost(LeaseLapsed{});
   if (Reply.m_Outcome == OrderOutcome::Fenced) {
     m_Token += m_TokenStep;
     m_TokenStep *= 2;
--- a/packages/worker/internal/serverlink.h
+++ b/packages/worker/internal/serverlink.h
@@ -1,6 +1,7 @@
 #ifndef CYCLAMENWALK_WORKER_INTERNAL_SERVERLINK_H
 #define CYCLAMENWALK_WORKER_INTERNAL_SERVERLINK_H
 
+#include "worker/types/evidence.h"
 #include "worker/workermodule.h"
 
 #include <memory>
@@ -23,7 +24,7 @@
   struct Hooks {
     std::function<void(const ConfirmedReply &)> m_HoldConfirmed;
     /// No run that this agent started is in progress at the server any more.
-    std::function<void(const std::string &Reason)> m_BackendLost;
+    std::function<void(const ServerEvidence &)> m_BackendLost;
     /// Whether runs are in progress; if so, their progress is polled more
     /// often.
     std::function<bool()> m_HasRuns;
--- a/packages/worker/internal/workerservice.cpp
+++ b/packages/worker/internal/workerservice.cpp
@@ -85,7 +85,7 @@
     removeGoneSessions();
     return;
   }
-  Session->markLost("a later instance uses its name");
+  Session->markLost(LaterAnnouncement{});
   openSession(Announcement);
 }
 
@@ -110,7 +110,7 @@
 
 void WorkerService::deregister(const std::string &Instance) {
   if (SessionPointer Session = findSession(Instance)) {
-    Session->markLost("it deregistered");
+    Session->markLost(Deregistration{});
     removeGoneSessions();
   }
 }
