Log which runs an agent stops and why, and how long a job's name is held

The reports on tasks that ran twice could not tell whether an agent stopped the runs of a lost entry, or for how long an entry refused a job whose earlier runs it was stopping, nor by what proof it let the job in again: today by none, which the log now says.

--- a/packages/batch/internal/batchservice.cpp
+++ b/packages/batch/internal/batchservice.cpp
@@ -507,8 +507,13 @@
   if (Agents.empty())
     return;
   auto It = m_StoppingJobs.insert(Job.m_Spec.m_Name);
-  m_Timers.subscribe(m_Settings.m_StopTimeout,
-                     [this, It] { m_StoppingJobs.erase(It); });
+  logEvent(LogLevel::Info, "job.name_held",
+           {{"job", Job.m_Spec.m_Name}, {"agents", Agents.size()}});
+  m_Timers.subscribe(m_Settings.m_StopTimeout, [this, It] {
+    logEvent(LogLevel::Info, "job.name_released",
+             {{"job", *It}, {"proof", "time_only"}});
+    m_StoppingJobs.erase(It);
+  });
 }
 
 void BatchService::answerCallers(BatchJob &Job) {
--- a/packages/worker/internal/workerservice.cpp
+++ b/packages/worker/internal/workerservice.cpp
@@ -127,10 +127,17 @@
 
 void WorkerService::entryDown(const Peer &Entry) {
   m_Entries.erase(Entry.m_Incarnation);
+  std::size_t RunCount = 0;
   for (const SessionPointer &Session : std::vector(m_Sessions))
-    Session->stopRuns([&Entry](const Run &Placed) {
-      return Placed.m_Job->m_Entry == Entry.m_Incarnation;
+    Session->stopRuns([&Entry, &RunCount](const Run &Placed) {
+      bool IsOfEntry = Placed.m_Job->m_Entry == Entry.m_Incarnation;
+      RunCount += IsOfEntry ? 1 : 0;
+      return IsOfEntry;
     });
+  logEvent(LogLevel::Info, "runs.stopped",
+           {{"entry", toString(Entry.m_Incarnation)},
+            {"cause", "entry_lost"},
+            {"runs", RunCount}});
 }
 
 void WorkerService::receive(Incarnation Entry, Message &Body) {
@@ -222,9 +229,17 @@
 }
 
 void WorkerService::stopJob(JobId Job) {
+  std::size_t RunCount = 0;
   for (const SessionPointer &Session : std::vector(m_Sessions))
-    Session->stopRuns(
-        [Job](const Run &Placed) { return Placed.m_Job->m_Job == Job; });
+    Session->stopRuns([Job, &RunCount](const Run &Placed) {
+      bool IsOfJob = Placed.m_Job->m_Job == Job;
+      RunCount += IsOfJob ? 1 : 0;
+      return IsOfJob;
+    });
+  logEvent(LogLevel::Info, "runs.stopped",
+           {{"entry", toString(Job.m_Entry)},
+            {"cause", "job_stopped"},
+            {"runs", RunCount}});
 }
 
 void WorkerService::recordResult(const Run &Ended) {
