Log why a call had no usable answer, and for which order

The log could not tell why an order of an agent had no answer: the line http.no_response was of level debug and named neither the run nor whether the request had been written to a connection.

It is a warning now, with the method, the run (HttpRequest::m_Subject), the reason (HttpFailure) and the number of times that curl passed the request to a connection, counted by CURLOPT_PREREQFUNCTION. Lines are limited as all events are. No decision changes.

--- a/packages/core/types/metric.h
+++ b/packages/core/types/metric.h
@@ -40,6 +40,8 @@
   StoreReads,
   StoreWrites,
   StoreErrors,
+  OrdersUnanswered,
+  OrdersNotSent,
   Count
 };
 
--- a/packages/http/internal/httpmessage.cpp
+++ b/packages/http/internal/httpmessage.cpp
@@ -14,6 +14,24 @@
 
 } // namespace
 
+const char *toString(HttpFailure Failure) {
+  switch (Failure) {
+  case HttpFailure::None:
+    return "none";
+  case HttpFailure::ConnectFailed:
+    return "connect_failed";
+  case HttpFailure::ConnectionLost:
+    return "connection_lost";
+  case HttpFailure::TimedOut:
+    return "timed_out";
+  case HttpFailure::Malformed:
+    return "malformed";
+  case HttpFailure::Other:
+    break;
+  }
+  return "other";
+}
+
 std::string HttpRequest::header(const std::string &Name) const {
   for (const auto &Header : m_Headers)
     if (strcasecmp(Header.first.c_str(), Name.c_str()) == 0)
--- /dev/null
+++ b/packages/http/internal/httptransfer.cpp
@@ -0,0 +1,114 @@
+#include "http/internal/httptransfer.h"
+
+#include "core/log.h"
+
+namespace cyclamenwalk {
+
+namespace {
+
+std::size_t appendBody(char *Data, std::size_t Size, std::size_t Count,
+                       void *Target) {
+  static_cast<std::string *>(Target)->append(Data, Size * Count);
+  return Size * Count;
+}
+
+bool cannotHaveBeenSent(CURLcode Result) {
+  return Result == CURLE_COULDNT_CONNECT ||
+         Result == CURLE_COULDNT_RESOLVE_HOST;
+}
+
+HttpFailure toFailure(CURLcode Result) {
+  switch (Result) {
+  case CURLE_OK:
+    return HttpFailure::None;
+  case CURLE_COULDNT_CONNECT:
+  case CURLE_COULDNT_RESOLVE_HOST:
+    return HttpFailure::ConnectFailed;
+  case CURLE_SEND_ERROR:
+  case CURLE_RECV_ERROR:
+  case CURLE_GOT_NOTHING:
+  case CURLE_PARTIAL_FILE:
+    return HttpFailure::ConnectionLost;
+  case CURLE_OPERATION_TIMEDOUT:
+    return HttpFailure::TimedOut;
+  case CURLE_WEIRD_SERVER_REPLY:
+  case CURLE_UNSUPPORTED_PROTOCOL:
+    return HttpFailure::Malformed;
+  default:
+    return HttpFailure::Other;
+  }
+}
+
+} // namespace
+
+HttpTransfer::HttpTransfer(HttpRequest Request, Duration Timeout,
+                           IHttpClient::Done HandleResponse)
+    : m_Request(std::move(Request)), m_Timeout(Timeout),
+      m_HandleResponse(std::move(HandleResponse)) {}
+
+HttpTransfer::~HttpTransfer() { curl_slist_free_all(m_Headers); }
+
+void HttpTransfer::configure(CURL *Handle, Duration ConnectTimeout) {
+  curl_easy_setopt(Handle, CURLOPT_URL, m_Request.m_Url.c_str());
+  curl_easy_setopt(Handle, CURLOPT_CUSTOMREQUEST, m_Request.m_Method.c_str());
+  curl_easy_setopt(Handle, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(Handle, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(Handle, CURLOPT_TIMEOUT_MS,
+                   static_cast<long>(toMilliseconds(m_Timeout)));
+  curl_easy_setopt(Handle, CURLOPT_CONNECTTIMEOUT_MS,
+                   static_cast<long>(toMilliseconds(ConnectTimeout)));
+  curl_easy_setopt(Handle, CURLOPT_PREREQFUNCTION, &countCopy);
+  curl_easy_setopt(Handle, CURLOPT_PREREQDATA, this);
+  curl_easy_setopt(Handle, CURLOPT_WRITEFUNCTION, &appendBody);
+  curl_easy_setopt(Handle, CURLOPT_WRITEDATA, &m_Response.m_Body);
+  if (m_Request.m_Method != "GET") {
+    curl_easy_setopt(Handle, CURLOPT_POSTFIELDS, m_Request.m_Body.data());
+    curl_easy_setopt(Handle, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(m_Request.m_Body.size()));
+  }
+  setHeaders(Handle);
+}
+
+void HttpTransfer::setHeaders(CURL *Handle) {
+  // Otherwise curl waits for "100 Continue" before it sends a larger body.
+  m_Headers = curl_slist_append(nullptr, "Expect:");
+  for (const auto &Header : m_Request.m_Headers) {
+    std::string Line = Header.first;
+    Line += ": ";
+    Line += Header.second;
+    m_Headers = curl_slist_append(m_Headers, Line.c_str());
+  }
+  curl_easy_setopt(Handle, CURLOPT_HTTPHEADER, m_Headers);
+}
+
+/// Called by curl each time before it writes the request to a connection.
+int HttpTransfer::countCopy(void *Self, char *, char *, int, int) {
+  ++static_cast<HttpTransfer *>(Self)->m_Copies;
+  return CURL_PREREQFUNC_OK;
+}
+
+void HttpTransfer::finish(CURL *Handle, CURLcode Result) {
+  long Status = 0;
+  if (Result == CURLE_OK)
+    curl_easy_getinfo(Handle, CURLINFO_RESPONSE_CODE, &Status);
+  m_Response.m_Status = static_cast<int>(Status);
+  m_Response.m_WasSent = !cannotHaveBeenSent(Result);
+  m_Response.m_Failure = toFailure(Result);
+  if (Result != CURLE_OK)
+    logNoResponse(Handle, Result);
+}
+
+void HttpTransfer::logNoResponse(CURL *Handle, CURLcode Result) const {
+  curl_off_t Elapsed = 0;
+  curl_easy_getinfo(Handle, CURLINFO_TOTAL_TIME_T, &Elapsed);
+  logEvent(LogLevel::Warning, "http.no_response",
+           {{"method", m_Request.m_Method},
+            {"url", m_Request.m_Url},
+            {"subject", m_Request.m_Subject},
+            {"reason", toString(m_Response.m_Failure)},
+            {"detail", curl_easy_strerror(Result)},
+            {"copies_written", m_Copies},
+            {"elapsed_us", Elapsed}});
+}
+
+} // namespace cyclamenwalk
--- a/packages/http/types/httpmessage.h
+++ b/packages/http/types/httpmessage.h
@@ -18,6 +18,8 @@
   std::string m_Body;
   /// Identifies the connection at a server; empty at a client.
   std::string m_ConnectionId;
+  /// What a client's request is about, for its log; not sent.
+  std::string m_Subject;
 
   /// The value of the header, query parameter or placeholder \p Name; empty if
   /// absent. Header names are case-insensitive.
@@ -26,11 +28,26 @@
   std::string path(const std::string &Name) const;
 };
 
+/// Why a client got no response.
+enum class HttpFailure {
+  None,
+  ConnectFailed,
+  /// The connection was closed or reset before the response was complete.
+  ConnectionLost,
+  TimedOut,
+  Malformed,
+  Other
+};
+
+/// The name of \p Failure in the log.
+const char *toString(HttpFailure Failure);
+
 struct HttpResponse {
   /// 0 at a client if there was no response.
   int m_Status = 200;
   /// False at a client if the request cannot have reached the server.
   bool m_WasSent = true;
+  HttpFailure m_Failure = HttpFailure::None;
   std::map<std::string, std::string> m_Headers;
   std::string m_ContentType = "application/json";
   std::string m_Body;
--- a/packages/metrics/internal/metricsregistry.cpp
+++ b/packages/metrics/internal/metricsregistry.cpp
@@ -51,6 +51,10 @@
     {"store_reads", "Read requests to the platform's service."},
     {"store_writes", "Write requests to the platform's service."},
     {"store_errors", "Requests to the platform's service without an answer."},
+    {"orders_unanswered",
+     "Orders to the backend server that may have been carried out though no "
+     "usable answer came."},
+    {"orders_not_sent", "Orders that were never written to a connection."},
 }};
 
 constexpr std::size_t LatencyCount = static_cast<std::size_t>(Timing::Count);
