Send a request that is not a GET at most once

Callers saw tasks run twice and servers over their room after answers to starts were lost: a start was refused as fenced, old or without room, or counted as not sent, though it ran.

libcurl sends a request again by itself on another connection when a reused one breaks before the response begins. The answer to the second copy, or the failure to open a connection for it, was taken for the answer to the only one. The same acted on conditional writes (412 met the own first copy) and on /execute, which ran twice.

curl asks the pre-request callback each time before it writes the request, and the socket callback before it opens a connection: both refuse once a copy was passed on, so that no second one can exist, and no connection is opened in vain. m_WasSent is whether the former was ever passed. order_repeats_prevented counts what was prevented.

--- a/packages/core/types/metric.h
+++ b/packages/core/types/metric.h
@@ -42,6 +42,7 @@
   StoreErrors,
   OrdersUnanswered,
   OrdersNotSent,
+  OrderRepeatsPrevented,
   Count
 };
 
--- a/packages/http/ihttpclient.h
+++ b/packages/http/ihttpclient.h
@@ -18,7 +18,8 @@
 
   /// Sends \p Request and passes the response to \p HandleResponse on the
   /// control thread. If none came within \p Timeout its status is 0; the server
-  /// may still have processed the request, unless m_WasSent is false.
+  /// may still have processed the request, or do so later, unless m_WasSent is
+  /// false. At most one copy of the request is sent, except of a GET.
   virtual void send(HttpRequest Request, Duration Timeout,
                     Done HandleResponse) = 0;
 };
--- a/packages/http/internal/httptransfer.cpp
+++ b/packages/http/internal/httptransfer.cpp
@@ -12,11 +12,6 @@
   return Size * Count;
 }
 
-bool cannotHaveBeenSent(CURLcode Result) {
-  return Result == CURLE_COULDNT_CONNECT ||
-         Result == CURLE_COULDNT_RESOLVE_HOST;
-}
-
 HttpFailure toFailure(CURLcode Result) {
   switch (Result) {
   case CURLE_OK:
@@ -44,7 +39,8 @@
 HttpTransfer::HttpTransfer(HttpRequest Request, Duration Timeout,
                            IHttpClient::Done HandleResponse)
     : m_Request(std::move(Request)), m_Timeout(Timeout),
-      m_HandleResponse(std::move(HandleResponse)) {}
+      m_HandleResponse(std::move(HandleResponse)),
+      m_IsRepeatable(m_Request.m_Method == "GET") {}
 
 HttpTransfer::~HttpTransfer() { curl_slist_free_all(m_Headers); }
 
@@ -57,7 +53,9 @@
                    static_cast<long>(toMilliseconds(m_Timeout)));
   curl_easy_setopt(Handle, CURLOPT_CONNECTTIMEOUT_MS,
                    static_cast<long>(toMilliseconds(ConnectTimeout)));
-  curl_easy_setopt(Handle, CURLOPT_PREREQFUNCTION, &countCopy);
+  curl_easy_setopt(Handle, CURLOPT_SOCKOPTFUNCTION, &prepareSocket);
+  curl_easy_setopt(Handle, CURLOPT_SOCKOPTDATA, this);
+  curl_easy_setopt(Handle, CURLOPT_PREREQFUNCTION, &prepareCopy);
   curl_easy_setopt(Handle, CURLOPT_PREREQDATA, this);
   curl_easy_setopt(Handle, CURLOPT_WRITEFUNCTION, &appendBody);
   curl_easy_setopt(Handle, CURLOPT_WRITEDATA, &m_Response.m_Body);
@@ -81,9 +79,27 @@
   curl_easy_setopt(Handle, CURLOPT_HTTPHEADER, m_Headers);
 }
 
+/// curl sends a request again, on another connection, when a reused one breaks
+/// before the response begins. The server may have processed the first copy.
+bool HttpTransfer::mayBeSentNow() {
+  if (m_Copies == 0 || m_IsRepeatable)
+    return true;
+  m_Response.m_IsRepeatPrevented = true;
+  return false;
+}
+
+/// Called by curl before it opens a connection.
+int HttpTransfer::prepareSocket(void *Self, curl_socket_t, curlsocktype) {
+  bool IsNeeded = static_cast<HttpTransfer *>(Self)->mayBeSentNow();
+  return IsNeeded ? CURL_SOCKOPT_OK : CURL_SOCKOPT_ERROR;
+}
+
 /// Called by curl each time before it writes the request to a connection.
-int HttpTransfer::countCopy(void *Self, char *, char *, int, int) {
-  ++static_cast<HttpTransfer *>(Self)->m_Copies;
+int HttpTransfer::prepareCopy(void *Self, char *, char *, int, int) {
+  auto &Transfer = *static_cast<HttpTransfer *>(Self);
+  if (!Transfer.mayBeSentNow())
+    return CURL_PREREQFUNC_ABORT;
+  ++Transfer.m_Copies;
   return CURL_PREREQFUNC_OK;
 }
 
@@ -92,8 +108,10 @@
   if (Result == CURLE_OK)
     curl_easy_getinfo(Handle, CURLINFO_RESPONSE_CODE, &Status);
   m_Response.m_Status = static_cast<int>(Status);
-  m_Response.m_WasSent = !cannotHaveBeenSent(Result);
-  m_Response.m_Failure = toFailure(Result);
+  m_Response.m_WasSent = m_Copies > 0;
+  m_Response.m_Failure = m_Response.m_IsRepeatPrevented
+                             ? HttpFailure::ConnectionLost
+                             : toFailure(Result);
   if (Result != CURLE_OK)
     logNoResponse(Handle, Result);
 }
@@ -108,6 +126,7 @@
             {"reason", toString(m_Response.m_Failure)},
             {"detail", curl_easy_strerror(Result)},
             {"copies_written", m_Copies},
+            {"repeat_prevented", m_Response.m_IsRepeatPrevented},
             {"elapsed_us", Elapsed}});
 }
 
--- a/packages/http/internal/httptransfer.h
+++ b/packages/http/internal/httptransfer.h
@@ -26,8 +26,11 @@
   IHttpClient::Done takeDone() { return std::move(m_HandleResponse); }
 
 private:
-  static int countCopy(void *Self, char *RemoteAddress, char *LocalAddress,
-                       int RemotePort, int LocalPort);
+  static int prepareSocket(void *Self, curl_socket_t Socket,
+                           curlsocktype Purpose);
+  static int prepareCopy(void *Self, char *RemoteAddress, char *LocalAddress,
+                         int RemotePort, int LocalPort);
+  bool mayBeSentNow();
   void setHeaders(CURL *Handle);
   void logNoResponse(CURL *Handle, CURLcode Result) const;
 
@@ -36,6 +39,8 @@
   IHttpClient::Done m_HandleResponse;
   HttpResponse m_Response;
   curl_slist *m_Headers = nullptr;
+  /// Whether curl may send the request again when a connection breaks.
+  bool m_IsRepeatable;
   /// How often the request was passed to a connection to be written.
   unsigned m_Copies = 0;
 };
--- a/packages/http/multiplexhttp.h
+++ b/packages/http/multiplexhttp.h
@@ -17,7 +17,8 @@
 
 /// An HTTP client that multiplexes its requests on one traffic thread over
 /// persistent connections. A connection whose request got no response is not
-/// reused.
+/// reused. A request whose kept connection breaks before the response begins is
+/// sent again if it is a GET; others get no response.
 class MultiplexHttp final : public IHttpClient {
 public:
   MultiplexHttp(const MultiplexSettings &Settings, IControlQueue &Control);
--- /dev/null
+++ b/packages/http/tests/multiplexhttp_test.cpp
@@ -0,0 +1,166 @@
+#include "core/tests/mocks/immediatequeue.h"
+#include "http/blockinghttp.h"
+#include "http/multiplexhttp.h"
+#include "http/tests/mocks/scriptedserver.h"
+
+#include <future>
+#include <gtest/gtest.h>
+
+using namespace cyclamenwalk;
+
+namespace {
+
+using Ending = ServerReaction::Ending;
+
+constexpr Duration LongTimeout = seconds(5);
+constexpr Duration ShortTimeout = milliseconds(100);
+
+const std::string OkText = makeHttpText(200, "{}");
+
+HttpRequest makeRequest(const std::string &Method, const ScriptedServer &Server,
+                        const std::string &Path) {
+  HttpRequest Request;
+  Request.m_Method = Method;
+  Request.m_Url = "http://" + Server.address() + Path;
+  if (Method != "GET")
+    Request.m_Body = "{\"order\":1}";
+  return Request;
+}
+
+class MultiplexHttpTest : public testing::Test {
+protected:
+  std::future<HttpResponse> start(HttpRequest Request, Duration Timeout) {
+    auto Answer = std::make_shared<std::promise<HttpResponse>>();
+    m_Client.send(std::move(Request), Timeout, [Answer](HttpResponse Response) {
+      Answer->set_value(std::move(Response));
+    });
+    return Answer->get_future();
+  }
+
+  HttpResponse call(const std::string &Method, const ScriptedServer &Server,
+                    const std::string &Path, Duration Timeout = LongTimeout) {
+    return start(makeRequest(Method, Server, Path), Timeout).get();
+  }
+
+  /// Opens \p Count connections to \p Server at the same time, which are idle
+  /// afterwards.
+  void openConnections(const ScriptedServer &Server, int Count) {
+    std::vector<std::future<HttpResponse>> Answers;
+    for (int I = 0; I < Count; ++I)
+      Answers.push_back(
+          start(makeRequest("POST", Server, "/open"), LongTimeout));
+    for (auto &Answer : Answers)
+      EXPECT_EQ(Answer.get().m_Status, 200);
+  }
+
+  ImmediateQueue m_Queue;
+  MultiplexHttp m_Client{MultiplexSettings{}, m_Queue};
+};
+
+/// Answers everything but the first request for /order, on whose connection it
+/// ends with \p Ending after it has read the request.
+ScriptedServer::Reaction loseFirstOrder(Ending HowItEnds,
+                                        bool StopsListening = false) {
+  auto IsFirst = std::make_shared<bool>(true);
+  return [=](const ReceivedRequest &Request) -> ServerReaction {
+    bool IsOrder = Request.m_Text.find(" /order ") != std::string::npos;
+    if (!IsOrder || !std::exchange(*IsFirst, false))
+      return {OkText};
+    return {"", HowItEnds, StopsListening};
+  };
+}
+
+} // namespace
+
+TEST_F(MultiplexHttpTest, sendsPostOnceWhenKeptConnectionBreaks) {
+  for (Ending HowItEnds : {Ending::Close, Ending::Reset}) {
+    ScriptedServer Server(loseFirstOrder(HowItEnds));
+    EXPECT_EQ(call("POST", Server, "/first").m_Status, 200);
+    HttpResponse Response = call("POST", Server, "/order");
+    EXPECT_EQ(Response.m_Status, 0);
+    EXPECT_TRUE(Response.m_WasSent);
+    EXPECT_EQ(Response.m_Failure, HttpFailure::ConnectionLost);
+    EXPECT_EQ(Server.received("/order"), 1);
+  }
+}
+
+TEST_F(MultiplexHttpTest, countsAsSentWhenRefusedAfterFirstCopy) {
+  for (const char *Method : {"POST", "GET"}) {
+    ScriptedServer Server(loseFirstOrder(Ending::Reset, true));
+    EXPECT_EQ(call("POST", Server, "/first").m_Status, 200);
+    HttpResponse Response = call(Method, Server, "/order");
+    EXPECT_EQ(Response.m_Status, 0);
+    EXPECT_TRUE(Response.m_WasSent) << Method;
+    EXPECT_EQ(Server.received("/order"), 1);
+  }
+}
+
+TEST_F(MultiplexHttpTest, sendsGetAgainWhenKeptConnectionBreaks) {
+  ScriptedServer Server(loseFirstOrder(Ending::Reset));
+  EXPECT_EQ(call("POST", Server, "/first").m_Status, 200);
+  EXPECT_EQ(call("GET", Server, "/order").m_Status, 200);
+  EXPECT_EQ(Server.received("/order"), 2);
+}
+
+/// There is another idle connection on which curl could send it again.
+TEST_F(MultiplexHttpTest, sendsPostOnceWhenAnotherConnectionIsIdle) {
+  ScriptedServer Server(loseFirstOrder(Ending::Reset));
+  openConnections(Server, 3);
+  HttpResponse Response = call("POST", Server, "/order");
+  EXPECT_EQ(Response.m_Status, 0);
+  EXPECT_TRUE(Response.m_IsRepeatPrevented);
+  EXPECT_EQ(Server.received("/order"), 1);
+  EXPECT_EQ(call("POST", Server, "/order").m_Status, 200);
+}
+
+TEST_F(MultiplexHttpTest, countsAsNotSentWhileWaitingForConnection) {
+  ScriptedServer Server(
+      [](const ReceivedRequest &) -> ServerReaction { return {}; });
+  MultiplexHttp Client({1, seconds(1)}, m_Queue);
+  std::promise<HttpResponse> Queued;
+  Client.send(makeRequest("POST", Server, "/busy"), 2 * ShortTimeout,
+              [](const HttpResponse &) {});
+  Client.send(
+      makeRequest("POST", Server, "/queued"), ShortTimeout,
+      [&](const HttpResponse &Response) { Queued.set_value(Response); });
+  HttpResponse Response = Queued.get_future().get();
+  EXPECT_FALSE(Response.m_WasSent);
+  EXPECT_EQ(Response.m_Failure, HttpFailure::TimedOut);
+  EXPECT_EQ(Server.received("/queued"), 0);
+}
+
+TEST_F(MultiplexHttpTest, doesNotTakeLateResponseForTheNextOne) {
+  ScriptedServer Server([](const ReceivedRequest &Request) -> ServerReaction {
+    if (Request.m_Text.find("/late") != std::string::npos)
+      return {};
+    return {
+        makeHttpText(200, "\"" + std::to_string(Request.m_Connection) + "\"")};
+  });
+  EXPECT_EQ(call("POST", Server, "/first").m_Body, "\"1\"");
+  EXPECT_EQ(call("POST", Server, "/late", ShortTimeout).m_Status, 0);
+  EXPECT_EQ(call("POST", Server, "/next").m_Body, "\"2\"");
+}
+
+/// ulfius uses a new connection for each request, so there is none to break.
+TEST(BlockingHttp, sendsPostOnceWhenConnectionBreaks) {
+  ScriptedServer Server(loseFirstOrder(Ending::Reset));
+  EXPECT_EQ(sendHttpRequest(makeRequest("POST", Server, "/first"), LongTimeout)
+                .m_Status,
+            200);
+  EXPECT_EQ(sendHttpRequest(makeRequest("POST", Server, "/order"), LongTimeout)
+                .m_Status,
+            0);
+  EXPECT_EQ(Server.received("/order"), 1);
+}
+
+/// A response must not be taken for that of another address or request.
+TEST(BlockingHttp, followsNoRedirect) {
+  ScriptedServer Server([](const ReceivedRequest &) -> ServerReaction {
+    return {"HTTP/1.1 307 Redirect\r\nLocation: /other\r\n"
+            "Content-Length: 0\r\n\r\n"};
+  });
+  EXPECT_EQ(sendHttpRequest(makeRequest("POST", Server, "/first"), LongTimeout)
+                .m_Status,
+            307);
+  EXPECT_EQ(Server.received("/other"), 0);
+}
--- a/packages/http/types/httpmessage.h
+++ b/packages/http/types/httpmessage.h
@@ -45,9 +45,14 @@
 struct HttpResponse {
   /// 0 at a client if there was no response.
   int m_Status = 200;
-  /// False at a client if the request cannot have reached the server.
+  /// False at a client if no copy of the request was passed to a connection,
+  /// so that the server can neither have processed it nor do so later. Says
+  /// nothing about earlier requests, nor whether the server is up.
   bool m_WasSent = true;
   HttpFailure m_Failure = HttpFailure::None;
+  /// The connection broke after the request was written, and the client did not
+  /// send it again because its method is not repeatable.
+  bool m_IsRepeatPrevented = false;
   std::map<std::string, std::string> m_Headers;
   std::string m_ContentType = "application/json";
   std::string m_Body;
--- a/packages/metrics/internal/metricsregistry.cpp
+++ b/packages/metrics/internal/metricsregistry.cpp
@@ -55,6 +55,8 @@
      "Orders to the backend server that may have been carried out though no "
      "usable answer came."},
     {"orders_not_sent", "Orders that were never written to a connection."},
+    {"order_repeats_prevented",
+     "Orders whose connection broke and that were not sent a second time."},
 }};
 
 constexpr std::size_t LatencyCount = static_cast<std::size_t>(Timing::Count);
