Drop the body of a response that ended too early

A response that ends before its stated length has status 0, but kept the part of its body that had arrived, and callers decode bodies whatever the status: the clock of an order without an answer was read from it.

Before: MultiplexHttpTest.truncatedResponseIsNoResponse Response.m_Body Which is: "{\"reason\":\"fence\"}", expected "" Passes now.

--- a/packages/http/internal/httptransfer.cpp
+++ b/packages/http/internal/httptransfer.cpp
@@ -112,8 +112,10 @@
   m_Response.m_Failure = m_Response.m_IsRepeatPrevented
                              ? HttpFailure::ConnectionLost
                              : toFailure(Result);
-  if (Result != CURLE_OK)
-    logNoResponse(Handle, Result);
+  if (Result == CURLE_OK)
+    return;
+  m_Response.m_Body.clear();
+  logNoResponse(Handle, Result);
 }
 
 void HttpTransfer::logNoResponse(CURL *Handle, CURLcode Result) const {
--- a/packages/http/tests/mocks/scriptedserver.cpp
+++ b/packages/http/tests/mocks/scriptedserver.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <condition_variable>
 #include <map>
 #include <mutex>
 #include <netinet/in.h>
@@ -67,6 +68,11 @@
         }));
   }
 
+  void awaitClosed(int Count) const {
+    std::unique_lock<std::mutex> Lock(m_Mutex);
+    m_HasClosed.wait(Lock, [&] { return m_Closed >= Count; });
+  }
+
 private:
   struct Connection {
     int m_Number = 0;
@@ -148,6 +154,9 @@
       resetConnection(Socket);
     else
       close(Socket);
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    ++m_Closed;
+    m_HasClosed.notify_all();
   }
 
   const Reaction m_React;
@@ -157,6 +166,8 @@
   int m_Accepted = 0;
   std::map<int, Connection> m_Connections;
   mutable std::mutex m_Mutex;
+  mutable std::condition_variable m_HasClosed;
+  int m_Closed = 0;
   std::vector<std::string> m_Requests;
   std::thread m_Thread;
 };
@@ -171,6 +182,10 @@
   return m_Impl->received(Part);
 }
 
+void ScriptedServer::awaitClosed(int Count) const {
+  m_Impl->awaitClosed(Count);
+}
+
 std::string makeHttpText(int Status, const std::string &Body) {
   return "HTTP/1.1 " + std::to_string(Status) +
          " Status\r\nContent-Type: application/json\r\nContent-Length: " +
--- a/packages/http/tests/mocks/scriptedserver.h
+++ b/packages/http/tests/mocks/scriptedserver.h
@@ -42,6 +42,9 @@
   /// The requests received so far whose text contains \p Part.
   int received(const std::string &Part) const;
 
+  /// Blocks until the server has closed \p Count connections.
+  void awaitClosed(int Count) const;
+
 private:
   class Impl;
   std::unique_ptr<Impl> m_Impl;
--- a/packages/http/tests/multiplexhttp_test.cpp
+++ b/packages/http/tests/multiplexhttp_test.cpp
@@ -141,6 +141,75 @@
   EXPECT_EQ(call("POST", Server, "/next").m_Body, "\"2\"");
 }
 
+/// Servers close idle connections at any time, without a word.
+TEST_F(MultiplexHttpTest, closedIdleConnectionLeavesNoCallUnanswered) {
+  constexpr int Calls = 200;
+  ScriptedServer Server([](const ReceivedRequest &) -> ServerReaction {
+    return {OkText, Ending::Close};
+  });
+  for (int I = 1; I <= Calls; ++I) {
+    EXPECT_EQ(call("POST", Server, "/order").m_Status, 200);
+    Server.awaitClosed(I);
+  }
+  EXPECT_EQ(Server.received("/order"), Calls);
+}
+
+TEST_F(MultiplexHttpTest, answersAllCallsOverKeptConnections) {
+  constexpr int Rounds = 200;
+  constexpr int CallsPerRound = 10;
+  ScriptedServer Server(
+      [](const ReceivedRequest &) -> ServerReaction { return {OkText}; });
+  for (int I = 0; I < Rounds; ++I)
+    openConnections(Server, CallsPerRound);
+  EXPECT_EQ(Server.received("/open"), Rounds * CallsPerRound);
+}
+
+TEST_F(MultiplexHttpTest, truncatedResponseIsNoResponse) {
+  ScriptedServer Server([](const ReceivedRequest &) -> ServerReaction {
+    return {"HTTP/1.1 409 Conflict\r\nContent-Length: 90\r\n\r\n"
+            "{\"reason\":\"fence\"}",
+            Ending::Close};
+  });
+  HttpResponse Response = call("POST", Server, "/order");
+  EXPECT_EQ(Response.m_Status, 0);
+  EXPECT_TRUE(Response.m_WasSent);
+  EXPECT_EQ(Response.m_Failure, HttpFailure::ConnectionLost);
+  EXPECT_EQ(Response.m_Body, "");
+}
+
+TEST_F(MultiplexHttpTest, interimResponseIsNotTheResponse) {
+  ScriptedServer Server([](const ReceivedRequest &Request) -> ServerReaction {
+    std::string Interim = "HTTP/1.1 102 Processing\r\n\r\n";
+    if (Request.m_Text.find("/lost") != std::string::npos)
+      return {Interim, Ending::Close};
+    return {Interim + makeHttpText(409, "{}")};
+  });
+  EXPECT_EQ(call("POST", Server, "/order").m_Status, 409);
+  HttpResponse Lost = call("POST", Server, "/lost");
+  EXPECT_EQ(Lost.m_Status, 0);
+  EXPECT_TRUE(Lost.m_WasSent);
+  EXPECT_EQ(Server.received("/lost"), 1);
+}
+
+TEST_F(MultiplexHttpTest, malformedResponseIsNoResponse) {
+  ScriptedServer Server([](const ReceivedRequest &) -> ServerReaction {
+    return {"409 {}\r\n\r\n", Ending::Close};
+  });
+  HttpResponse Response = call("POST", Server, "/order");
+  EXPECT_EQ(Response.m_Status, 0);
+  EXPECT_TRUE(Response.m_WasSent);
+  EXPECT_EQ(Response.m_Failure, HttpFailure::Malformed);
+}
+
+TEST_F(MultiplexHttpTest, followsNoRedirect) {
+  ScriptedServer Server([](const ReceivedRequest &) -> ServerReaction {
+    return {"HTTP/1.1 307 Redirect\r\nLocation: /other\r\n"
+            "Content-Length: 0\r\n\r\n"};
+  });
+  EXPECT_EQ(call("POST", Server, "/order").m_Status, 307);
+  EXPECT_EQ(Server.received("/other"), 0);
+}
+
 /// ulfius uses a new connection for each request, so there is none to break.
 TEST(BlockingHttp, sendsPostOnceWhenConnectionBreaks) {
   ScriptedServer Server(loseFirstOrder(Ending::Reset));
