Do not reuse idle connections to a server after one of them was silent

Open connections may go silent for good without a reset while new ones work. curl closed the connection whose call timed out, but the next call took the next idle one, as dead as the first: of 8 idle connections each lost one call.

When a call times out on a connection that was opened for an earlier one, the idle connections to that server are shut down; curl finds them closed when it checks them before reuse. Connections in use are left alone (silenceEndsNoCallInProgress). A server that is only slow costs new connections.

--- a/packages/http/internal/httptransfer.cpp
+++ b/packages/http/internal/httptransfer.cpp
@@ -37,9 +37,10 @@
 } // namespace
 
 HttpTransfer::HttpTransfer(HttpRequest Request, Duration Timeout,
-                           IHttpClient::Done HandleResponse)
+                           IHttpClient::Done HandleResponse,
+                           OpenConnections &Connections)
     : m_Request(std::move(Request)), m_Timeout(Timeout),
-      m_HandleResponse(std::move(HandleResponse)),
+      m_HandleResponse(std::move(HandleResponse)), m_Connections(Connections),
       m_IsRepeatable(m_Request.m_Method == "GET") {}
 
 HttpTransfer::~HttpTransfer() { curl_slist_free_all(m_Headers); }
@@ -55,6 +56,10 @@
                    static_cast<long>(toMilliseconds(ConnectTimeout)));
   curl_easy_setopt(Handle, CURLOPT_SOCKOPTFUNCTION, &prepareSocket);
   curl_easy_setopt(Handle, CURLOPT_SOCKOPTDATA, this);
+  // The callback of the request for which a connection was opened closes it,
+  // at any time later.
+  curl_easy_setopt(Handle, CURLOPT_CLOSESOCKETFUNCTION, &closeSocket);
+  curl_easy_setopt(Handle, CURLOPT_CLOSESOCKETDATA, &m_Connections);
   curl_easy_setopt(Handle, CURLOPT_PREREQFUNCTION, &prepareCopy);
   curl_easy_setopt(Handle, CURLOPT_PREREQDATA, this);
   curl_easy_setopt(Handle, CURLOPT_WRITEFUNCTION, &appendBody);
@@ -89,20 +94,45 @@
 }
 
 /// Called by curl before it opens a connection.
-int HttpTransfer::prepareSocket(void *Self, curl_socket_t, curlsocktype) {
-  bool IsNeeded = static_cast<HttpTransfer *>(Self)->mayBeSentNow();
-  return IsNeeded ? CURL_SOCKOPT_OK : CURL_SOCKOPT_ERROR;
+int HttpTransfer::prepareSocket(void *Self, curl_socket_t Socket,
+                                curlsocktype) {
+  auto &Transfer = *static_cast<HttpTransfer *>(Self);
+  if (!Transfer.mayBeSentNow())
+    return CURL_SOCKOPT_ERROR;
+  Transfer.m_OpenedSocket = Socket;
+  Transfer.m_Connections.add(Socket, Transfer.server());
+  return CURL_SOCKOPT_OK;
+}
+
+int HttpTransfer::closeSocket(void *Connections, curl_socket_t Socket) {
+  return static_cast<OpenConnections *>(Connections)->close(Socket);
 }
 
 /// Called by curl each time before it writes the request to a connection.
-int HttpTransfer::prepareCopy(void *Self, char *, char *, int, int) {
+int HttpTransfer::prepareCopy(void *Self, char *, char *, int, int LocalPort) {
   auto &Transfer = *static_cast<HttpTransfer *>(Self);
   if (!Transfer.mayBeSentNow())
     return CURL_PREREQFUNC_ABORT;
   ++Transfer.m_Copies;
+  Transfer.m_LocalPort = LocalPort;
   return CURL_PREREQFUNC_OK;
 }
 
+bool HttpTransfer::hasKeptConnectionTimedOut() const {
+  return m_Response.m_Failure == HttpFailure::TimedOut &&
+         m_Response.m_WasSent && m_OpenedSocket == CURL_SOCKET_BAD;
+}
+
+bool HttpTransfer::uses(curl_socket_t Socket, int LocalPort) const {
+  return Socket == m_OpenedSocket || (m_Copies > 0 && LocalPort == m_LocalPort);
+}
+
+std::string HttpTransfer::server() const {
+  static const std::string Scheme = "http://";
+  std::size_t End = m_Request.m_Url.find('/', Scheme.size());
+  return m_Request.m_Url.substr(Scheme.size(), End - Scheme.size());
+}
+
 void HttpTransfer::finish(CURL *Handle, CURLcode Result) {
   long Status = 0;
   if (Result == CURLE_OK)
--- a/packages/http/internal/multiplexhttp.cpp
+++ b/packages/http/internal/multiplexhttp.cpp
@@ -3,6 +3,7 @@
 #include "core/error.h"
 #include "http/internal/httptransfer.h"
 
+#include <algorithm>
 #include <map>
 #include <mutex>
 #include <thread>
@@ -47,8 +48,8 @@
   }
 
   void send(HttpRequest Request, Duration Timeout, Done HandleResponse) {
-    auto Next = std::make_unique<HttpTransfer>(std::move(Request), Timeout,
-                                               std::move(HandleResponse));
+    auto Next = std::make_unique<HttpTransfer>(
+        std::move(Request), Timeout, std::move(HandleResponse), m_Connections);
     bool IsFirst = false;
     {
       std::lock_guard<std::mutex> Lock(m_Mutex);
@@ -115,12 +116,25 @@
     Finished->finish(Handle, Result);
     curl_multi_remove_handle(m_Multi, Handle);
     m_IdleHandles.push_back(Handle);
+    if (Finished->hasKeptConnectionTimedOut())
+      shutDownIdleConnections(Finished->server());
     m_Control.post([HandleResponse = Finished->takeDone(),
                     Response = Finished->takeResponse()]() mutable {
       HandleResponse(std::move(Response));
     });
   }
 
+  /// Connections may go silent together and stay so, without a reset.
+  void shutDownIdleConnections(const std::string &Server) const {
+    m_Connections.shutDownIdle(
+        Server, [this](curl_socket_t Socket, int LocalPort) {
+          return std::any_of(m_Transfers.begin(), m_Transfers.end(),
+                             [=](const auto &Item) {
+                               return Item.second->uses(Socket, LocalPort);
+                             });
+        });
+  }
+
   const MultiplexSettings m_Settings;
   IControlQueue &m_Control;
   CURLM *m_Multi;
@@ -128,6 +142,7 @@
   std::vector<TransferPointer> m_Queue;
   bool m_Stopped = false;
   // The following are used on the traffic thread only.
+  OpenConnections m_Connections;
   std::map<CURL *, TransferPointer> m_Transfers;
   std::vector<CURL *> m_IdleHandles;
   std::thread m_Thread;
--- a/packages/http/multiplexhttp.h
+++ b/packages/http/multiplexhttp.h
@@ -18,7 +18,8 @@
 /// An HTTP client that multiplexes its requests on one traffic thread over
 /// persistent connections. A connection whose request got no response is not
 /// reused. A request whose kept connection breaks before the response begins is
-/// sent again if it is a GET; others get no response.
+/// sent again if it is a GET; others get no response. When a kept connection
+/// brings no response in time, the idle ones to that server are not used again.
 class MultiplexHttp final : public IHttpClient {
 public:
   MultiplexHttp(const MultiplexSettings &Settings, IControlQueue &Control);
--- a/packages/http/tests/multiplexhttp_test.cpp
+++ b/packages/http/tests/multiplexhttp_test.cpp
@@ -164,6 +164,35 @@
   EXPECT_EQ(Server.received("/open"), Rounds * CallsPerRound);
 }
 
+/// All open connections go silent without a reset, while new ones work.
+TEST_F(MultiplexHttpTest, reusesNoOtherIdleConnectionAfterSilence) {
+  constexpr int Open = 8;
+  ScriptedServer Server([](const ReceivedRequest &Request) -> ServerReaction {
+    bool IsOld = Request.m_Connection <= Open;
+    bool IsOpening = Request.m_Text.find("/open") != std::string::npos;
+    return {IsOld && !IsOpening ? "" : OkText};
+  });
+  openConnections(Server, Open);
+  int Unanswered = 0;
+  while (call("POST", Server, "/order", ShortTimeout).m_Status == 0)
+    ++Unanswered;
+  EXPECT_LE(Unanswered, 1);
+}
+
+/// A call in progress keeps its connection when another one times out.
+TEST_F(MultiplexHttpTest, silenceEndsNoCallInProgress) {
+  ScriptedServer Server([](const ReceivedRequest &Request) -> ServerReaction {
+    bool IsAnswered = Request.m_Text.find("/silent") == std::string::npos &&
+                      Request.m_Text.find("/poll") == std::string::npos;
+    return {IsAnswered ? OkText : ""};
+  });
+  openConnections(Server, 4);
+  auto Poll = start(makeRequest("POST", Server, "/poll"), 4 * ShortTimeout);
+  EXPECT_EQ(call("POST", Server, "/silent", ShortTimeout).m_Failure,
+            HttpFailure::TimedOut);
+  EXPECT_EQ(Poll.get().m_Failure, HttpFailure::TimedOut);
+}
+
 TEST_F(MultiplexHttpTest, truncatedResponseIsNoResponse) {
   ScriptedServer Server([](const ReceivedRequest &) -> ServerReaction {
     return {"HTTP/1.1 409 Conflict\r\nContent-Length: 90\r\n\r\n"
