A connection that can't be opened ends no run of a server

Cause: OrderOutcome::Unreachable, "nothing listens at the address", was taken as proof that the server was gone, and all of its runs with it. It says no more than that this order was never written to a connection, and is named NotSent now. The start's own run is reported as not started. Other runs stay until a list, or the lapsed lease, proves their end.

All evidence is typed (types/evidence.h) and turned into chart events by one module (internal/runjudge.h).

--- a/packages/worker/internal/backendsession.cpp
+++ b/packages/worker/internal/backendsession.cpp
@@ -1,5 +1,7 @@
 #include "worker/internal/backendsession.h"
 
+#include "worker/internal/runprogress.h"
+
 #include "core/log.h"
 
 #include <algorithm>
@@ -21,15 +23,7 @@
 /// number of runs.
 constexpr double MeanSlownessWeight = 10;
 constexpr double Percent = 100;
-constexpr int FullProgress = 100;
-/// A run has stalled when it makes no progress for this time, or for this
-/// fraction of its expected time if that is longer.
-constexpr Duration MinStallTimeout = milliseconds(140);
-constexpr int StallTimeoutDivisor = 4;
 constexpr std::size_t MaxFailedJobs = 1000;
-/// Before this time a run's progress is too coarse for a forecast.
-constexpr Duration MinForecastTime = milliseconds(200);
-
 /// Requests that end runs before their start, as named in the log.
 constexpr std::string_view DropRequest = "returned_to_entry";
 constexpr std::string_view QueueTimeout = "queue_timeout";
@@ -42,25 +36,6 @@
   return std::clamp(Quotient, MinRunTimeRatio, MaxRunTimeRatio);
 }
 
-RunEvent eventOf(OrderOutcome Outcome) {
-  switch (Outcome) {
-  case OrderOutcome::Done:
-    return RunEvent::Accepted;
-  case OrderOutcome::Fenced:
-  case OrderOutcome::LeaseExpired:
-    return RunEvent::Fenced;
-  case OrderOutcome::StaleRun:
-    return RunEvent::Stale;
-  case OrderOutcome::Refused:
-  case OrderOutcome::WrongInstance:
-  case OrderOutcome::Unreachable:
-    return RunEvent::Refused;
-  case OrderOutcome::Unanswered:
-    return RunEvent::Unanswered;
-  }
-  return RunEvent::Unanswered;
-}
-
 const char *nameOf(RunOutcome Outcome) {
   switch (Outcome) {
   case RunOutcome::Succeeded:
@@ -101,9 +76,10 @@
           m_Announcement.m_Address, m_Announcement.m_Instance, Settings,
           Dependencies,
           {[this](const ConfirmedReply &Confirmed) { receiveLists(Confirmed); },
-           [this](const ServerEvidence &E) { markLost(E); },
+           [this](const ServerEvidence &E) { receiveEvidence(E); },
            [this] { return m_Runs.activeCount() > 0; }}) {
   m_Context.m_State = m_Chart.initial();
+  m_Known.m_AnnouncedStart = m_Announcement.m_InstanceStartedAt;
   logEvent(LogLevel::Info, "backend.found",
            {{"instance", m_Announcement.m_Instance},
             {"service", m_Announcement.m_Service},
@@ -156,6 +132,7 @@
       LogLevel::Info, "backend.state_changed",
       {{"instance", m_Announcement.m_Instance},
        {"state", std::string(ChartNames<SessionState>::Values[StateIndex])},
+       {"evidence", m_LastEvidence},
        {"runs", m_Runs.size()},
        {"token", m_Server.token()}});
   m_Hooks.m_Changed();
@@ -194,21 +171,29 @@
 
 void BackendSession::leave() { fire(SessionEvent::Leave); }
 
-void BackendSession::markLost(const ServerEvidence &Evidence) {
-  if (isGone())
+void BackendSession::receiveEvidence(const ServerEvidence &Evidence) {
+  auto Event = judge(m_Known, Evidence);
+  if (!Event || isGone())
     return;
-  m_LossEvidence = nameOf(Evidence);
-  logEvent(LogLevel::Warning, "backend.lost",
-           {{"instance", m_Announcement.m_Instance},
-            {"evidence", m_LossEvidence},
-            {"runs", m_Runs.size()}});
-  fire(SessionEvent::BackendLost);
+  m_LastEvidence = nameOf(Evidence);
+  if (*Event == SessionEvent::BackendLost)
+    logEvent(LogLevel::Warning, "backend.lost",
+             {{"instance", m_Announcement.m_Instance},
+              {"evidence", m_LastEvidence},
+              {"runs", m_Runs.size()}});
+  fire(*Event);
+}
+
+void BackendSession::receiveEvidence(const RunPointer &About,
+                                     const RunEvidence &Evidence) {
+  if (auto Event = judge(*About, Evidence))
+    fireRun(About, *Event, nameOf(Evidence));
 }
 
 void BackendSession::markRunsLost() {
   m_Server.close();
   for (const RunPointer &Lost : m_Runs.runs())
-    fireRun(Lost, RunEvent::BackendLost, m_LossEvidence);
+    fireRun(Lost, RunEvent::BackendLost, m_LastEvidence);
 }
 
 /// Returns the waiting runs to their entries; other runs ignore the event.
@@ -275,6 +260,9 @@
         m_Timers.now() - Next->m_Job->m_PlacedAt >= m_Settings.m_MaxQueueTime;
     fireRun(Next, IsExpired ? RunEvent::Expire : RunEvent::Start, QueueTimeout);
   }
+  // Runs that were queued again meanwhile may start at another worker.
+  if (!isServing())
+    dropWaitingRuns();
   m_Hooks.m_Changed();
 }
 
@@ -304,13 +292,8 @@
               {"outcome", nameOf(Reply.m_Outcome)},
               {"token", Token}});
   if (IsCurrent)
-    fireRun(Started, eventOf(Reply.m_Outcome),
-            nameOf(RunEvidence(StartReplied{Reply.m_Outcome})));
-  if (Reply.m_Outcome == OrderOutcome::Unreachable)
-    markLost(ConnectionRefused{});
-  else if (Reply.m_Outcome == OrderOutcome::WrongInstance)
-    markLost(OtherInstanceReplied{});
-  else if (Reply.m_Outcome != OrderOutcome::Done)
+    receiveEvidence(Started, StartReplied{Reply.m_Outcome});
+  if (Reply.m_Outcome != OrderOutcome::Done)
     startWaitingRuns();
 }
 
@@ -384,12 +367,9 @@
 
 void BackendSession::receiveLists(const ConfirmedReply &Confirmed) {
   const HoldReply &Reply = Confirmed.m_Reply;
-  bool IsOtherInstance =
-      Reply.m_InstanceStartedAt != Duration::zero() &&
-      m_Announcement.m_InstanceStartedAt != Duration::zero() &&
-      Reply.m_InstanceStartedAt != m_Announcement.m_InstanceStartedAt;
-  if (IsOtherInstance)
-    return markLost(OwnStartTime{Reply.m_InstanceStartedAt});
+  receiveEvidence(OwnStartTime{Reply.m_InstanceStartedAt});
+  if (isGone())
+    return;
   processEndedRuns(Reply);
   updateProgress(Reply);
   std::set<RunId> Listed;
@@ -398,7 +378,7 @@
   m_Orphans.clear();
   for (const RunId &Id : Listed) {
     if (RunPointer Found = m_Runs.find(Id))
-      fireRun(Found, RunEvent::Listed, nameOf(RunEvidence(ListedRunning{})));
+      receiveEvidence(Found, ListedRunning{});
     else
       m_Orphans.push_back(Id);
   }
@@ -415,32 +395,15 @@
     RunPointer Updated = m_Runs.find(Active.m_Run);
     if (!Updated || Updated->m_State != RunState::Running)
       continue;
-    Updated->m_ProgressListedAt = m_Timers.now();
-    bool HasIncreased = Active.m_ProgressPercent > Updated->m_ProgressPercent ||
-                        Updated->m_LastProgressAt == TimePoint{};
-    bool HasProgressed = Active.m_ProgressPercent > 0 && HasIncreased;
-    if (HasIncreased)
-      Updated->m_LastProgressAt = m_Timers.now();
-    if (HasProgressed && !std::exchange(Updated->m_HasProgressed, true))
+    bool IsFirstProgress =
+        cyclamenwalk::updateProgress(*Updated, Active, m_Timers.now());
+    if (IsFirstProgress)
       m_Health.recordProgress();
-    Updated->m_ProgressPercent = Active.m_ProgressPercent;
     checkDeadline(*Updated);
   }
   stopStalledRuns();
 }
 
-/// Whether the run has made no progress for longer than one step of its
-/// progress can take.
-bool BackendSession::isStalled(const Run &Candidate) const {
-  if (Candidate.m_State != RunState::Running ||
-      Candidate.m_LastProgressAt == TimePoint{})
-    return false;
-  Duration Timeout =
-      std::max(MinStallTimeout,
-               Candidate.m_Job->m_ExpectedRunTime / StallTimeoutDivisor);
-  return Candidate.m_ProgressListedAt - Candidate.m_LastProgressAt >= Timeout;
-}
-
 /// Stops stalled runs, so that their tasks can run at another worker.
 void BackendSession::stopStalledRuns() {
   bool HasStalledRuns = false;
@@ -464,28 +427,21 @@
 }
 
 void BackendSession::checkDeadline(Run &Running) {
-  Duration Elapsed = m_Timers.now() - Running.m_StartedAt;
-  // A run without recent progress may succeed at another worker.
-  bool IsStalling = Running.m_ProgressPercent == 0 ||
-                    Running.m_ProgressListedAt - Running.m_LastProgressAt >=
-                        MinStallTimeout / 2;
-  if (Running.m_IsDeadlineMissReported || IsStalling ||
-      Elapsed < MinForecastTime)
-    return;
-  // Progress is rounded down; assume that the next percent is almost complete.
-  Duration RemainingRunTime =
-      Elapsed * FullProgress / (Running.m_ProgressPercent + 1) - Elapsed;
+  Duration RemainingRunTime = forecastRemaining(Running, m_Timers.now());
   Duration UntilDeadline = Running.m_Job->m_DeadlineAt - m_Timers.now();
-  if (RemainingRunTime <= UntilDeadline)
+  bool MayEndInTime =
+      RemainingRunTime == Duration::zero() || RemainingRunTime <= UntilDeadline;
+  if (Running.m_IsDeadlineMissReported || MayEndInTime)
     return;
   Running.m_IsDeadlineMissReported = true;
-  logEvent(LogLevel::Info, "run.deadline_unreachable",
-           {{"task", Running.m_Id.m_Task},
-            {"run", Running.m_Id.m_Run},
-            {"elapsed_ms", toMilliseconds(Elapsed)},
-            {"progress_percent", Running.m_ProgressPercent},
-            {"remaining_run_ms", toMilliseconds(RemainingRunTime)},
-            {"until_deadline_ms", toMilliseconds(UntilDeadline)}});
+  logEvent(
+      LogLevel::Info, "run.deadline_unreachable",
+      {{"task", Running.m_Id.m_Task},
+       {"run", Running.m_Id.m_Run},
+       {"elapsed_ms", toMilliseconds(m_Timers.now() - Running.m_StartedAt)},
+       {"progress_percent", Running.m_ProgressPercent},
+       {"remaining_run_ms", toMilliseconds(RemainingRunTime)},
+       {"until_deadline_ms", toMilliseconds(UntilDeadline)}});
   m_Hooks.m_DeadlineUnreachable(Running);
 }
 
@@ -498,24 +454,16 @@
     if (!Ended)
       continue;
     Ended->m_RunOutcome = Listed.m_RunOutcome;
-    fireRun(Ended, RunEvent::Ended, nameOf(RunEvidence(ListedEnd{})));
+    receiveEvidence(Ended, ListedEnd{Listed.m_RunOutcome});
   }
 }
 
-/// Handles runs that the server should list and does not: runs that had started
-/// when the hold was sent, and unconfirmed runs whose start order is now void.
 void BackendSession::detectMissingRuns(const ConfirmedReply &Confirmed,
                                        const std::set<RunId> &Listed) {
-  for (const RunPointer &Candidate : m_Runs.runs()) {
-    if (!usesResources(*Candidate) || Listed.count(Candidate->m_Id))
-      continue;
-    bool HadStarted = Candidate->m_StartedAt != TimePoint{} &&
-                      Candidate->m_StartedAt < Confirmed.m_SentAt;
-    bool IsFenced = Candidate->m_State != RunState::Starting &&
-                    Candidate->m_OrderToken < Confirmed.m_Token;
-    if (HadStarted || IsFenced)
-      fireRun(Candidate, RunEvent::Missing, nameOf(RunEvidence(NotListed{})));
-  }
+  NotListed Evidence{Confirmed.m_SentAt, Confirmed.m_Token, true};
+  for (const RunPointer &Candidate : m_Runs.runs())
+    if (!Listed.count(Candidate->m_Id))
+      receiveEvidence(Candidate, Evidence);
 }
 
 void BackendSession::stopOrphans() {
--- a/packages/worker/internal/backendsession.h
+++ b/packages/worker/internal/backendsession.h
@@ -2,6 +2,7 @@
 #define CYCLAMENWALK_WORKER_INTERNAL_BACKENDSESSION_H
 
 #include "worker/internal/backendhealth.h"
+#include "worker/internal/runjudge.h"
 #include "worker/internal/runtable.h"
 #include "worker/internal/serverlink.h"
 
@@ -9,18 +10,6 @@
 
 namespace cyclamenwalk {
 
-enum class SessionState { Reconciling, Serving, Leaving, Gone };
-enum class SessionEvent { NoOrphans, OrphansFound, Leave, BackendLost };
-
-template <> struct ChartNames<SessionState> {
-  static constexpr std::array<std::string_view, 4> Values{
-      "reconciling", "serving", "leaving", "gone"};
-};
-template <> struct ChartNames<SessionEvent> {
-  static constexpr std::array<std::string_view, 4> Values{
-      "noOrphans", "orphansFound", "leave", "backendLost"};
-};
-
 /// The session with one instance of the backend server: its running and waiting
 /// runs.
 class BackendSession {
@@ -47,8 +36,7 @@
   /// The server accepts no more work.
   void leave();
 
-  /// The server is known to be gone, and all of its runs with it.
-  void markLost(const ServerEvidence &Evidence);
+  void receiveEvidence(const ServerEvidence &Evidence);
 
   /// Takes over one run of a task. False if an earlier run of it has not ended,
   /// as when a caller sends a job again whose runs are still being stopped.
@@ -86,6 +74,7 @@
   /// \p Evidence is logged if the run ends.
   void fireRun(const RunPointer &Target, RunEvent Event,
                std::string_view Evidence);
+  void receiveEvidence(const RunPointer &About, const RunEvidence &Evidence);
   void markRunsLost();
   void dropWaitingRuns();
   void stopOrphans();
@@ -102,7 +91,6 @@
   void receiveLists(const ConfirmedReply &Confirmed);
   void updateProgress(const HoldReply &Reply);
   void checkDeadline(Run &Running);
-  bool isStalled(const Run &Candidate) const;
   void stopStalledRuns();
   void processEndedRuns(const HoldReply &Reply);
   void detectMissingRuns(const ConfirmedReply &Confirmed,
@@ -119,8 +107,9 @@
   const SessionChart m_Chart;
   const RunChart m_RunChart;
   Context m_Context;
-  /// Name of the evidence for the loss of the server.
-  std::string_view m_LossEvidence;
+  KnownServer m_Known;
+  /// Name of the evidence that last had an effect on the session.
+  std::string_view m_LastEvidence = "announcement";
   RunTable m_Runs;
   BackendHealth m_Health;
   ServerLink m_Server;
--- a/packages/worker/internal/evidence.cpp
+++ b/packages/worker/internal/evidence.cpp
@@ -8,12 +8,12 @@
 namespace {
 
 constexpr std::array<std::string_view, 8> OutcomeNames{
-    "done",    "fenced",         "stale_run",   "lease_expired",
-    "refused", "wrong_instance", "unreachable", "unanswered"};
+    "done",    "fenced",         "stale_run", "lease_expired",
+    "refused", "wrong_instance", "not_sent",  "unanswered"};
 constexpr std::array<std::string_view, 8> StartReplyNames{
     "start_accepted",      "start_fenced",    "start_stale",
     "start_lease_expired", "start_refused",   "start_wrong_instance",
-    "start_unreachable",   "start_unanswered"};
+    "start_not_sent",      "start_unanswered"};
 /// In the order of the alternatives of RunEvidence; the first is unused.
 constexpr std::array<std::string_view, 4> RunEvidenceNames{
     "start_reply", "listed_running", "listed_end", "not_listed"};
--- a/packages/worker/internal/serverlink.cpp
+++ b/packages/worker/internal/serverlink.cpp
@@ -40,13 +40,17 @@
 void ServerLink::start(const RunId &Run, const std::string &Spec,
                        std::function<void(const OrderReply &)> Done) {
   std::weak_ptr<bool> Alive = m_Alive;
-  m_Control.start({target(), Run, Spec, extendLease()},
-                  [this, Alive, Done = std::move(Done)](OrderReply Reply) {
-                    if (Alive.expired())
-                      return;
-                    updateClock(Reply.m_Clock);
-                    Done(Reply);
-                  });
+  TimePoint SentAt = m_Timers.now();
+  m_Control.start(
+      {target(), Run, Spec, extendLease()},
+      [this, Alive, SentAt, Done = std::move(Done)](OrderReply Reply) {
+        if (Alive.expired())
+          return;
+        updateClock(Reply.m_Clock);
+        Done(Reply);
+        if (!Alive.expired())
+          recordReachability(Reply.m_Outcome, SentAt);
+      });
 }
 
 void ServerLink::stop(const RunId &Run) {
@@ -69,8 +73,8 @@
   HoldOrder Order;
   Order.m_Target = target();
   Order.m_LastEndNumber = m_LastEndNumber;
-  bool IsResponsive =
-      m_Timers.now() - m_LastReplyAt < m_Settings.m_RenewalTimeout;
+  bool IsResponsive = m_IsReachable && m_Timers.now() - m_LastReplyAt <
+                                           m_Settings.m_RenewalTimeout;
   bool RenewsLease = Purpose != HoldPurpose::List && IsResponsive;
   if (RenewsLease)
     Order.m_LeaseUntil = extendLease();
@@ -91,8 +95,9 @@
 void ServerLink::receiveReply(HoldPurpose Purpose, const HoldOrder &Sent,
                               TimePoint SentAt, const HoldReply &Reply) {
   if (Reply.m_Outcome != OrderOutcome::Done)
-    return handleFailedHold(Purpose, Reply);
+    return handleFailedHold(Purpose, SentAt, Reply);
   m_LastReplyAt = m_Timers.now();
+  m_IsReachable = true;
   updateClock(Reply.m_Clock);
   std::uint64_t Token = Sent.m_Target.m_FencingToken;
   if (Purpose == HoldPurpose::Fence && m_PendingFenceToken <= Token)
@@ -104,28 +109,28 @@
     sendHold(HoldPurpose::Renew);
 }
 
-void ServerLink::handleFailedHold(HoldPurpose Purpose, const HoldReply &Reply) {
+void ServerLink::handleFailedHold(HoldPurpose Purpose, TimePoint SentAt,
+                                  const HoldReply &Reply) {
   logEvent(LogLevel::Warning, "backend.hold_failed",
            {{"instance", m_Instance},
             {"outcome", nameOf(Reply.m_Outcome)},
             {"since_reply_ms", toMilliseconds(m_Timers.now() - m_LastReplyAt)},
             {"token", m_Token}});
-  if (Reply.m_Outcome == OrderOutcome::Unreachable)
-    return m_Hooks.m_BackendLost(ConnectionRefused{});
-  if (Reply.m_Outcome == OrderOutcome::WrongInstance)
-    return m_Hooks.m_BackendLost(OtherInstanceReplied{});
+  std::weak_ptr<bool> Alive = m_Alive;
+  recordReachability(Reply.m_Outcome, SentAt);
+  if (Alive.expired())
+    return;
   Duration MaxLeaseAge = m_Settings.m_Lease + m_Settings.m_LeaseMargin;
   if (m_Timers.now() - m_LeaseSentAt > MaxLeaseAge)
-    return m_Hooks.m_BackendLost(LeaseLapsed{});
+    return m_Hooks.m_EvidenceFound(LeaseLapsed{});
   if (Reply.m_Outcome == OrderOutcome::Fenced) {
     m_Token += m_TokenStep;
     m_TokenStep *= 2;
   }
   // The retry of a fence must not replace the timer of the renewals, so it
   // doesn't use m_Timer.
-  std::weak_ptr<bool> Alive = m_Alive;
-  bool IsReplyRecent =
-      m_Timers.now() - m_LastReplyAt < m_Settings.m_PollPeriod * 3;
+  bool IsReplyRecent = m_IsReachable && m_Timers.now() - m_LastReplyAt <
+                                            m_Settings.m_PollPeriod * 3;
   Duration Delay = IsReplyRecent ? Duration::zero() : m_Settings.m_PollPeriod;
   m_Timers.subscribe(Delay, [this, Alive, Purpose] {
     if (!Alive.expired())
@@ -133,6 +138,16 @@
   });
 }
 
+void ServerLink::recordReachability(OrderOutcome Outcome, TimePoint SentAt) {
+  if (Outcome == OrderOutcome::Unanswered)
+    return;
+  m_IsReachable = Outcome != OrderOutcome::NotSent;
+  if (Outcome == OrderOutcome::NotSent)
+    m_Hooks.m_EvidenceFound(ConnectionRefused{});
+  else if (Outcome == OrderOutcome::WrongInstance)
+    m_Hooks.m_EvidenceFound(OtherInstanceReplied{SentAt});
+}
+
 OrderTarget ServerLink::target() const {
   return {m_Address, m_Instance, m_Token};
 }
--- a/packages/worker/internal/serverlink.h
+++ b/packages/worker/internal/serverlink.h
@@ -23,8 +23,7 @@
 public:
   struct Hooks {
     std::function<void(const ConfirmedReply &)> m_HoldConfirmed;
-    /// No run that this agent started is in progress at the server any more.
-    std::function<void(const ServerEvidence &)> m_BackendLost;
+    std::function<void(const ServerEvidence &)> m_EvidenceFound;
     /// Whether runs are in progress; if so, their progress is polled more
     /// often.
     std::function<bool()> m_HasRuns;
@@ -64,7 +63,10 @@
   void scheduleHold(HoldPurpose Purpose, Duration Delay);
   void receiveReply(HoldPurpose Purpose, const HoldOrder &Sent,
                     TimePoint SentAt, const HoldReply &Reply);
-  void handleFailedHold(HoldPurpose Purpose, const HoldReply &Reply);
+  void handleFailedHold(HoldPurpose Purpose, TimePoint SentAt,
+                        const HoldReply &Reply);
+  /// Takes the outcome of an order as evidence about the server.
+  void recordReachability(OrderOutcome Outcome, TimePoint SentAt);
   OrderTarget target() const;
   void updateClock(Duration ServerClock);
   Duration extendLease();
@@ -92,6 +94,8 @@
   /// When the last order that extended the lease was sent.
   TimePoint m_LeaseSentAt;
   TimePoint m_LastReplyAt;
+  /// Whether the last order that had a definite outcome reached the server.
+  bool m_IsReachable = true;
   TimerId m_Timer = 0;
   /// Callbacks hold a weak pointer to this and do nothing once it has expired.
   std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
--- a/packages/worker/internal/workerservice.cpp
+++ b/packages/worker/internal/workerservice.cpp
@@ -85,7 +85,7 @@
     removeGoneSessions();
     return;
   }
-  Session->markLost(LaterAnnouncement{});
+  Session->receiveEvidence(LaterAnnouncement{});
   openSession(Announcement);
 }
 
@@ -110,7 +110,7 @@
 
 void WorkerService::deregister(const std::string &Instance) {
   if (SessionPointer Session = findSession(Instance)) {
-    Session->markLost(Deregistration{});
+    Session->receiveEvidence(Deregistration{});
     removeGoneSessions();
   }
 }
--- a/packages/worker/tests/mocks/backendcontrolfake.h
+++ b/packages/worker/tests/mocks/backendcontrolfake.h
@@ -14,6 +14,10 @@
 public:
   void start(StartOrder Order, std::function<void(OrderReply)> Done) override {
     m_Starts.push_back(Order);
+    if (m_KeepsStarts) {
+      m_PendingStarts.push_back(std::move(Done));
+      return;
+    }
     if (m_RefusesAsStale) {
       Done({OrderOutcome::StaleRun, m_Clock});
       return;
@@ -34,6 +38,7 @@
   }
 
   void hold(HoldOrder Order, std::function<void(HoldReply)> Done) override {
+    ++m_HoldCount;
     m_Token = std::max(m_Token, Order.m_Target.m_FencingToken);
     m_Acknowledged = std::max(m_Acknowledged, Order.m_LastEndNumber);
     m_LeaseUntil = std::max(m_LeaseUntil, Order.m_LeaseUntil);
@@ -62,6 +67,14 @@
       Hold.m_Done(makeReply(Outcome));
   }
 
+  /// Replies to the start orders that were kept.
+  void answerStarts(OrderOutcome Outcome) {
+    auto Starts = std::move(m_PendingStarts);
+    m_PendingStarts.clear();
+    for (auto &Done : Starts)
+      Done({Outcome, m_Clock});
+  }
+
   HoldReply makeReply(OrderOutcome Outcome) const {
     HoldReply Reply;
     Reply.m_Outcome = Outcome;
@@ -85,9 +98,12 @@
   /// Whether start orders get no reply and take effect only when the test
   /// passes them from m_DelayedStarts to executeStart().
   bool m_DelaysStarts = false;
+  /// Whether start orders are kept, without effect, until answerStarts().
+  bool m_KeepsStarts = false;
   /// Whether start orders are refused because a run of the task has ended.
   bool m_RefusesAsStale = false;
   std::uint64_t m_Token = 0;
+  std::size_t m_HoldCount = 0;
   std::uint64_t m_LastEndNumber = 0;
   std::uint64_t m_Acknowledged = 0;
   Duration m_LeaseUntil{};
@@ -96,6 +112,7 @@
   std::vector<EndedRun> m_Ended;
   std::vector<StartOrder> m_Starts;
   std::vector<StartOrder> m_DelayedStarts;
+  std::vector<std::function<void(OrderReply)>> m_PendingStarts;
   std::vector<RunId> m_Stops;
   std::vector<PendingHold> m_Holds;
 };
--- a/packages/worker/types/backend.h
+++ b/packages/worker/types/backend.h
@@ -82,8 +82,9 @@
   Refused,
   /// Rejected by another instance of the server.
   WrongInstance,
-  /// Nothing listens at the address, so the order was not carried out.
-  Unreachable,
+  /// Never written to a connection, so this order is not carried out. Says
+  /// nothing about earlier orders.
+  NotSent,
   /// No usable reply; the order may still be carried out at any later time.
   Unanswered
 };
