A rejected start keeps its room until a list proves that it didn't start

Cause: the reply 'fenced' or 'late' to a start freed the run's room at once (run.scxml: starting -> waiting, stopping -> ended), though it may be the reply to a second copy of the order of which the first was carried out. The run is unconfirmed now until a list that confirms a higher token lacks it; in stopping, 'stale' and 'fenced' raise the token and end nothing. A token is raised only if no raise after the order has been made, so that rejections of one token cause one raise. A run that is queued again expires in time.

--- a/packages/worker/internal/backendsession.cpp
+++ b/packages/worker/internal/backendsession.cpp
@@ -309,6 +309,12 @@
 
 void BackendSession::requeueRun(Run &Waiting) {
   m_Runs.enqueue(m_Runs.find(Waiting.m_Id));
+  // The timer may have fired while the run was not waiting.
+  m_Timers.cancel(Waiting.m_ExpiryTimer);
+  TimePoint ExpiresAt = Waiting.m_Job->m_PlacedAt + m_Settings.m_MaxQueueTime;
+  Waiting.m_ExpiryTimer =
+      m_Timers.subscribe(std::max(Duration::zero(), ExpiresAt - m_Timers.now()),
+                         [this, Id = Waiting.m_Id] { expireRun(Id); });
 }
 
 void BackendSession::finishRun(Run &Ended, RunOutcome Outcome) {
--- a/packages/worker/internal/serverlink.cpp
+++ b/packages/worker/internal/serverlink.cpp
@@ -29,7 +29,8 @@
 void ServerLink::fenceOrders(std::uint64_t OrderToken) {
   if (m_PendingFenceToken > OrderToken)
     return;
-  ++m_Token;
+  if (m_Token <= OrderToken)
+    ++m_Token;
   logEvent(LogLevel::Info, "backend.fenced",
            {{"instance", m_Instance},
             {"order_token", OrderToken},
--- a/packages/worker/internal/serverlink.h
+++ b/packages/worker/internal/serverlink.h
@@ -41,7 +41,7 @@
   /// Renews the lease continuously from now on.
   void startRenewal();
 
-  /// Makes start orders with \p OrderToken void by raising the token. The reply
+  /// Makes start orders with \p OrderToken void by a higher token. The reply
   /// that confirms the new token is passed to m_HoldConfirmed.
   void fenceOrders(std::uint64_t OrderToken);
 
--- a/packages/worker/tests/capacityproperty_test.cpp
+++ b/packages/worker/tests/capacityproperty_test.cpp
@@ -16,6 +16,24 @@
 const Peer Entry{"entry-1", {7}, "10.0.0.1:1", "zone-a", Role::Entry};
 const Peer OtherEntry{"entry-2", {8}, "10.0.0.2:1", "zone-a", Role::Entry};
 
+/// Passes each sent result to a hook before it records the message.
+class ObservedLinks final : public ILinks {
+public:
+  void setHooks(Hooks) override {}
+  void connect(const std::string &) override {}
+  void send(Incarnation To, Message Body) override {
+    if (const auto *Results = std::get_if<RunResults>(&Body))
+      for (const RunResult &Sent : Results->m_RunResults)
+        m_ResultSent(Sent);
+    m_Recorded.send(To, std::move(Body));
+  }
+  void disconnect(Incarnation) override {}
+  bool isFlushed() const override { return true; }
+
+  std::function<void(const RunResult &)> m_ResultSent;
+  LinksFake m_Recorded;
+};
+
 /// An agent beside a backend server that delays orders and loses answers, and
 /// two entries that place, stop and send again jobs of a few names.
 class Scenario {
@@ -25,6 +43,7 @@
     m_Server.m_MilliCoresOf = [](const RunId &Run) {
       return milliCoresOf(Run.m_Task.substr(0, Run.m_Task.find('.')));
     };
+    m_Links.m_ResultSent = [this](const RunResult &Sent) { check(Sent); };
     startAgent();
   }
 
@@ -54,16 +73,41 @@
 
   /// The free cores as last reported.
   std::int64_t freeMilliCores() const {
-    return m_Links.sent<WorkerReport>().back().second.m_Free.m_MilliCores;
+    return m_Links.m_Recorded.sent<WorkerReport>()
+        .back()
+        .second.m_Free.m_MilliCores;
   }
 
   BackendServerModel &server() { return m_Server; }
 
+  /// Runs that were reported as ended while they were in progress.
+  std::size_t m_EndedWhileRunning = 0;
+  /// Runs that were reported as not started although they had started.
+  std::size_t m_WronglyNotStarted = 0;
+
 private:
   static std::int64_t milliCoresOf(const std::string &Job) {
     return 2000 + 450 * static_cast<std::int64_t>(Job.back() - 'a');
   }
 
+  /// Checks a result against what the server knows.
+  void check(const RunResult &Sent) {
+    auto It = m_JobNames.find(Sent.m_Job);
+    if (It == m_JobNames.end())
+      return;
+    RunId Run{It->second + "." + std::to_string(Sent.m_Index), Sent.m_Run};
+    std::string Spec = specOf(Sent.m_Job);
+    bool IsNotStarted = Sent.m_RunOutcome == RunOutcome::NotStarted ||
+                        Sent.m_RunOutcome == RunOutcome::StaleRun;
+    m_EndedWhileRunning += m_Server.isRunning(Run, Spec);
+    m_WronglyNotStarted += IsNotStarted && m_Server.hasStarted(Run, Spec);
+  }
+
+  static std::string specOf(JobId Job) {
+    return std::to_string(Job.m_Entry.m_Value) + "-" +
+           std::to_string(Job.m_Sequence);
+  }
+
   /// Starts the agent, or replaces it by a new life that knows nothing.
   void startAgent() {
     m_Worker.reset();
@@ -106,6 +150,8 @@
       m_Timers.pause(milliseconds(m_Server.draw(2500)));
     else if (Action == 9 && m_Server.draw(10) == 0)
       startAgent();
+    else if (Action == 9 && m_Server.draw(10) == 0)
+      m_Server.refuseConnections(milliseconds(m_Server.draw(300)));
   }
 
   void place(const Peer &From) {
@@ -113,7 +159,9 @@
     Body.m_Job = {From.m_Incarnation, ++m_LastJob};
     Body.m_Name =
         std::string("job-") + static_cast<char>('a' + m_Server.draw(JobNames));
+    m_JobNames[Body.m_Job] = Body.m_Name;
     Body.m_Service = "gatepost";
+    Body.m_Spec = specOf(Body.m_Job);
     Body.m_Required = {milliCoresOf(Body.m_Name), 64, 0};
     Body.m_ExpectedRunTime = milliseconds(100);
     Body.m_StartWithin = Body.m_OrderWithin = milliseconds(100);
@@ -136,7 +184,8 @@
   }
 
   ChartFolder m_Charts{CW_CHART_DIR};
-  LinksFake m_Links;
+  ObservedLinks m_Links;
+  std::map<JobId, std::string> m_JobNames;
   ManualTimerService m_Timers;
   MetricsFake m_Metrics;
   BackendServerModel m_Server;
@@ -149,7 +198,8 @@
 } // namespace
 
 /// Whatever is delayed, lost or overtaken, and although callers send jobs again
-/// under the same names, no start exceeds the capacity of the server.
+/// under the same names, no start exceeds the capacity of the server, and no
+/// result contradicts what runs there.
 TEST(CapacityProperty, startsNeverExceedTheCapacity) {
   std::size_t Starts = 0;
   EXPECT_TRUE(rc::check("capacity is kept", [&](std::uint32_t Seed) {
@@ -157,6 +207,8 @@
     Played.play(400);
     Starts += Played.server().m_StartCount;
     RC_ASSERT(Played.server().m_MostOverCapacity <= 0);
+    RC_ASSERT(Played.m_EndedWhileRunning == 0u);
+    RC_ASSERT(Played.m_WronglyNotStarted == 0u);
   }));
   EXPECT_GT(Starts, 1000u);
 }
--- a/packages/worker/tests/mocks/backendservermodel.h
+++ b/packages/worker/tests/mocks/backendservermodel.h
@@ -14,8 +14,9 @@
 
 /// A backend server with the rules of the platform: it starts whatever it is
 /// told to, keeps the highest token, and ends all runs when the lease expires.
-/// At random it delays orders by up to seconds, loses answers and lets them
-/// overtake each other.
+/// At random it delays orders by up to seconds, loses answers, lets them
+/// overtake each other, executes orders a second time later on, and refuses
+/// connections for a while.
 class BackendServerModel final : public IBackendControl {
 public:
   BackendServerModel(ManualTimerService &Timers, std::uint32_t Seed)
@@ -37,20 +38,36 @@
                        Order.m_Wait + OrderTimeout, Wait);
   }
 
+  /// Opens no connections for \p Span.
+  void refuseConnections(Duration Span) {
+    m_RefusesUntil = std::max(m_RefusesUntil, m_Timers.now() + Span);
+  }
+
+  bool isRunning(const RunId &Run, const std::string &Spec) {
+    checkLease();
+    auto It = m_Running.find(Run);
+    return It != m_Running.end() && It->second == Spec;
+  }
+
+  bool hasStarted(const RunId &Run, const std::string &Spec) const {
+    return m_Started.count({Run, Spec}) > 0;
+  }
+
   /// Ends one of the runs in progress.
   void endRandomRun() {
     if (m_Running.empty())
       return;
     auto It = m_Running.begin();
     std::advance(It, draw(m_Running.size()));
-    end(RunId(*It), draw(10) == 0 ? RunOutcome::Failed : RunOutcome::Succeeded);
+    end(RunId(It->first),
+        draw(10) == 0 ? RunOutcome::Failed : RunOutcome::Succeeded);
   }
 
   void checkLease() {
     if (now() < m_LeaseUntil)
       return;
-    for (const RunId &Run : std::set<RunId>(m_Running))
-      end(Run, RunOutcome::Lapsed);
+    for (const auto &Item : std::map<RunId, std::string>(m_Running))
+      end(Item.first, RunOutcome::Lapsed);
   }
 
   std::size_t draw(std::size_t Count) { return m_Random() % Count; }
@@ -81,6 +98,13 @@
         Done(Value);
     };
     m_Timers.subscribe(Timeout, [Answer] { Answer(Reply()); });
+    if (m_Timers.now() < m_RefusesUntil) {
+      Reply NotSent;
+      NotSent.m_Outcome = OrderOutcome::NotSent;
+      m_Timers.subscribe(microseconds(100),
+                         [Answer, NotSent] { Answer(NotSent); });
+      return;
+    }
     std::size_t Fault = m_IsFaulty ? draw(12) : 12;
     if (Fault == 0)
       return;
@@ -88,20 +112,24 @@
     if (Fault <= 2)
       ExecutedAfter += milliseconds(draw(2500));
     bool IsAnswerLost = Fault == 3;
-    bool IsSentTwice = Fault == 4;
     Duration AnswerAfter = microseconds(100 + draw(8000));
-    m_Timers.subscribe(ExecutedAfter, [this, Call, Answer, IsAnswerLost,
-                                       IsSentTwice, AnswerAfter] {
-      checkLease();
-      Reply Value = Call();
-      if (IsSentTwice) {
-        if (draw(2) == 0)
+    // Only the answer to the second copy of an order arrives.
+    if (Fault == 4) {
+      m_Timers.subscribe(ExecutedAfter, [this, Call] {
+        checkLease();
+        Call();
+        if (draw(4) == 0)
           endRandomRun();
-        Value = Call();
-      }
-      if (!IsAnswerLost)
-        m_Timers.subscribe(AnswerAfter, [Answer, Value] { Answer(Value); });
-    });
+      });
+      ExecutedAfter += milliseconds(draw(50));
+    }
+    m_Timers.subscribe(
+        ExecutedAfter, [this, Call, Answer, IsAnswerLost, AnswerAfter] {
+          checkLease();
+          Reply Value = Call();
+          if (!IsAnswerLost)
+            m_Timers.subscribe(AnswerAfter, [Answer, Value] { Answer(Value); });
+        });
   }
 
   OrderReply executeStart(const StartOrder &Order) {
@@ -116,11 +144,12 @@
       return {OrderOutcome::StaleRun, now()};
     if (now() >= m_LeaseUntil)
       return {OrderOutcome::LeaseExpired, now()};
-    m_Running.insert(Order.m_Run);
+    m_Running[Order.m_Run] = Order.m_Spec;
+    m_Started.insert({Order.m_Run, Order.m_Spec});
     ++m_StartCount;
     std::int64_t Used = 0;
-    for (const RunId &Run : m_Running)
-      Used += m_MilliCoresOf(Run);
+    for (const auto &Item : m_Running)
+      Used += m_MilliCoresOf(Item.first);
     m_MostOverCapacity =
         std::max(m_MostOverCapacity, Used - m_CapacityMilliCores);
     return {OrderOutcome::Done, now()};
@@ -147,8 +176,8 @@
     m_LeaseUntil = std::max(m_LeaseUntil, Order.m_LeaseUntil);
     m_LastSeen = std::max(m_LastSeen, Order.m_LastEndNumber);
     Reply.m_Outcome = OrderOutcome::Done;
-    for (const RunId &Run : m_Running)
-      Reply.m_Running.push_back({Run, 50});
+    for (const auto &Item : m_Running)
+      Reply.m_Running.push_back({Item.first, 50});
     for (const EndedRun &Ended : m_Ended)
       if (Ended.m_Number > m_LastSeen)
         Reply.m_Ended.push_back(Ended);
@@ -168,7 +197,11 @@
   Duration m_LeaseUntil{};
   std::uint64_t m_LastSeen = 0;
   std::uint64_t m_LastEndNumber = 0;
-  std::set<RunId> m_Running;
+  TimePoint m_RefusesUntil;
+  /// The runs in progress and their specifications, which differ by job.
+  std::map<RunId, std::string> m_Running;
+  /// All runs that have started.
+  std::set<std::pair<RunId, std::string>> m_Started;
   std::vector<EndedRun> m_Ended;
   std::map<std::string, std::uint32_t> m_HighestEnded;
 };
--- a/packages/worker/tests/workerevidence_test.cpp
+++ b/packages/worker/tests/workerevidence_test.cpp
@@ -65,3 +65,49 @@
   ASSERT_EQ(Results.size(), 1u);
   EXPECT_EQ(Results[0].m_RunOutcome, RunOutcome::BackendGone);
 }
+
+/// Guards against starts over the capacity: the reply that an order was fenced
+/// may be the reply to its second copy, while the first has been carried out.
+TEST_F(WorkerEvidenceTest, FencedStartKeepsItsResourcesUntilAListLacksIt) {
+  serve();
+  m_Control.m_KeepsStarts = true;
+  place(makePlacement(6));
+  m_Control.executeStart(m_Control.m_Starts[0]);
+  m_Control.answerStarts(OrderOutcome::Fenced);
+  m_Control.m_KeepsStarts = false;
+  place(makePlacement(1, 2));
+  EXPECT_EQ(m_Control.m_Starts.size(), 6u) << "no resources are free for sure";
+  EXPECT_TRUE(takeResults().empty());
+  m_Control.answerHolds();
+  EXPECT_EQ(m_Control.m_Running.size(), 6u);
+  m_Control.endRun({"job1.0", 1}, RunOutcome::Succeeded);
+  m_Control.answerHolds();
+  auto Results = takeResults();
+  ASSERT_EQ(Results.size(), 1u);
+  EXPECT_EQ(Results[0].m_RunOutcome, RunOutcome::Succeeded);
+}
+
+/// Guards against a run that is taken for not started while it is being
+/// stopped.
+TEST_F(WorkerEvidenceTest, RejectedStartOfARunToBeStoppedProvesNoEnd) {
+  for (OrderOutcome Outcome : {OrderOutcome::Fenced, OrderOutcome::StaleRun,
+                               OrderOutcome::LeaseExpired}) {
+    SCOPED_TRACE(static_cast<int>(Outcome));
+    serve();
+    m_Control.m_Starts.clear();
+    m_Control.m_KeepsStarts = true;
+    PlaceTasks Placed = makePlacement(1, 10 + static_cast<unsigned>(Outcome));
+    place(Placed);
+    ASSERT_EQ(m_Control.m_Starts.size(), 1u);
+    Message Stop = StopJob{Placed.m_Job};
+    m_Worker->receive(Entry.m_Incarnation, Stop);
+    m_Control.executeStart(m_Control.m_Starts[0]);
+    m_Control.answerStarts(Outcome);
+    EXPECT_TRUE(takeResults().empty());
+    m_Control.endRun(m_Control.m_Starts[0].m_Run, RunOutcome::Stopped);
+    m_Control.answerHolds();
+    auto Results = takeResults();
+    ASSERT_EQ(Results.size(), 1u);
+    EXPECT_EQ(Results[0].m_RunOutcome, RunOutcome::Stopped);
+  }
+}
