A deregistration ends no run before its end is proven

Cause: deregister() took the announcement of an end as the end, and reported all runs as gone. The session closes now (session.scxml, closing): it takes no work, returns waiting runs, stops the others, lets the lease lapse and asks for lists, and is gone when a listed end, a list or the lapsed lease has proven each run over. A heartbeat after that opens a new session. A session that leaves before it has served polls as well, so that the end of its server is noticed.

Evidence: on the old code workerevidence_test.cpp:122: Failure, Which is: 0, Which is: 6 (no run was stopped) and :124, Which is: 7, Which is: 1 (six runs reported as ended while they ran).

--- a/packages/worker/internal/backendsession.cpp
+++ b/packages/worker/internal/backendsession.cpp
@@ -102,6 +102,8 @@
       Charts.chart("session"), {},
       {{"startRenewal", [this](Context &) { m_Server.startRenewal(); }},
        {"stopOrphans", [this](Context &) { stopOrphans(); }},
+       {"stopRenewal", [this](Context &) { m_Server.stopRenewal(); }},
+       {"stopAllRuns", [this](Context &) { stopAllRuns(); }},
        {"dropWaitingRuns", [this](Context &) { dropWaitingRuns(); }},
        {"markRunsLost", [this](Context &) { markRunsLost(); }}});
 }
@@ -182,6 +184,7 @@
               {"evidence", m_LastEvidence},
               {"runs", m_Runs.size()}});
   fire(*Event);
+  endWhenDrained();
 }
 
 void BackendSession::receiveEvidence(const RunPointer &About,
@@ -190,6 +193,17 @@
     fireRun(About, *Event, nameOf(Evidence));
 }
 
+/// Ends a session that closes once all of its runs are proven over.
+void BackendSession::endWhenDrained() {
+  if (m_Context.m_State == SessionState::Closing && m_Runs.size() == 0)
+    fire(SessionEvent::RunsOver);
+}
+
+void BackendSession::stopAllRuns() {
+  for (const RunPointer &Candidate : m_Runs.runs())
+    fireRun(Candidate, RunEvent::Stop, m_LastEvidence);
+}
+
 void BackendSession::markRunsLost() {
   m_Server.close();
   for (const RunPointer &Lost : m_Runs.runs())
@@ -295,6 +309,7 @@
     receiveEvidence(Started, StartReplied{Reply.m_Outcome});
   if (Reply.m_Outcome != OrderOutcome::Done)
     startWaitingRuns();
+  endWhenDrained();
 }
 
 void BackendSession::sendStop(Run &Stopped) {
@@ -394,6 +409,7 @@
   if (m_Context.m_State == SessionState::Reconciling)
     m_Server.requestLists(m_Settings.m_PollPeriod);
   startWaitingRuns();
+  endWhenDrained();
 }
 
 void BackendSession::updateProgress(const HoldReply &Reply) {
--- a/packages/worker/internal/backendsession.h
+++ b/packages/worker/internal/backendsession.h
@@ -75,6 +75,8 @@
   void fireRun(const RunPointer &Target, RunEvent Event,
                std::string_view Evidence);
   void receiveEvidence(const RunPointer &About, const RunEvidence &Evidence);
+  void endWhenDrained();
+  void stopAllRuns();
   void markRunsLost();
   void dropWaitingRuns();
   void stopOrphans();
--- a/packages/worker/internal/runjudge.cpp
+++ b/packages/worker/internal/runjudge.cpp
@@ -78,8 +78,9 @@
   std::optional<SessionEvent> operator()(const LaterAnnouncement &) const {
     return SessionEvent::BackendLost;
   }
+  /// Announces the end of the server, which may be seconds away.
   std::optional<SessionEvent> operator()(const Deregistration &) const {
-    return SessionEvent::BackendLost;
+    return SessionEvent::Deregistered;
   }
 };
 
--- a/packages/worker/internal/serverlink.cpp
+++ b/packages/worker/internal/serverlink.cpp
@@ -2,6 +2,8 @@
 
 #include "core/log.h"
 
+#include <utility>
+
 namespace cyclamenwalk {
 
 ServerLink::ServerLink(std::string Address, std::string Instance,
@@ -24,7 +26,20 @@
   scheduleHold(HoldPurpose::List, Delay);
 }
 
-void ServerLink::startRenewal() { sendHold(HoldPurpose::Renew); }
+void ServerLink::startRenewal() {
+  m_RenewsLease = true;
+  startPolling();
+}
+
+void ServerLink::stopRenewal() {
+  m_RenewsLease = false;
+  startPolling();
+}
+
+void ServerLink::startPolling() {
+  if (!std::exchange(m_IsPolling, true))
+    sendHold(HoldPurpose::Poll);
+}
 
 void ServerLink::fenceOrders(std::uint64_t OrderToken) {
   if (m_PendingFenceToken > OrderToken)
@@ -76,10 +91,11 @@
   Order.m_LastEndNumber = m_LastEndNumber;
   bool IsResponsive = m_IsReachable && m_Timers.now() - m_LastReplyAt <
                                            m_Settings.m_RenewalTimeout;
-  bool RenewsLease = Purpose != HoldPurpose::List && IsResponsive;
+  bool RenewsLease =
+      m_RenewsLease && Purpose != HoldPurpose::List && IsResponsive;
   if (RenewsLease)
     Order.m_LeaseUntil = extendLease();
-  if (Purpose == HoldPurpose::Renew)
+  if (Purpose == HoldPurpose::Poll)
     Order.m_Wait = m_Hooks.m_HasRuns() ? m_Settings.m_BusyHoldTimeout
                                        : m_Settings.m_HoldTimeout;
   if (Purpose == HoldPurpose::Fence)
@@ -106,8 +122,8 @@
   std::weak_ptr<bool> Alive = m_Alive;
   m_Hooks.m_HoldConfirmed({Reply, Token, SentAt});
   // The hook may have closed this link.
-  if (!Alive.expired() && Purpose == HoldPurpose::Renew)
-    sendHold(HoldPurpose::Renew);
+  if (!Alive.expired() && Purpose == HoldPurpose::Poll)
+    sendHold(HoldPurpose::Poll);
 }
 
 void ServerLink::handleFailedHold(HoldPurpose Purpose, TimePoint SentAt,
--- a/packages/worker/internal/serverlink.h
+++ b/packages/worker/internal/serverlink.h
@@ -41,6 +41,9 @@
   /// Renews the lease continuously from now on.
   void startRenewal();
 
+  /// Requests lists continuously without renewing the lease any more.
+  void stopRenewal();
+
   /// Makes start orders with \p OrderToken void by a higher token. The reply
   /// that confirms the new token is passed to m_HoldConfirmed.
   void fenceOrders(std::uint64_t OrderToken);
@@ -57,8 +60,9 @@
   void setLastEnd(std::uint64_t Number) { m_LastEndNumber = Number; }
 
 private:
-  enum class HoldPurpose { List, Fence, Renew };
+  enum class HoldPurpose { List, Fence, Poll };
 
+  void startPolling();
   void sendHold(HoldPurpose Purpose);
   void scheduleHold(HoldPurpose Purpose, Duration Delay);
   void receiveReply(HoldPurpose Purpose, const HoldOrder &Sent,
@@ -96,6 +100,8 @@
   TimePoint m_LastReplyAt;
   /// Whether the last order that had a definite outcome reached the server.
   bool m_IsReachable = true;
+  bool m_IsPolling = false;
+  bool m_RenewsLease = false;
   TimerId m_Timer = 0;
   /// Callbacks hold a weak pointer to this and do nothing once it has expired.
   std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
--- a/packages/worker/internal/sessionchart.h
+++ b/packages/worker/internal/sessionchart.h
@@ -5,22 +5,32 @@
 
 namespace cyclamenwalk {
 
-enum class SessionState { Reconciling, Serving, Unreachable, Leaving, Gone };
+enum class SessionState {
+  Reconciling,
+  Serving,
+  Unreachable,
+  Leaving,
+  Closing,
+  Gone
+};
 enum class SessionEvent {
   NoOrphans,
   OrphansFound,
   NotReached,
   Leave,
+  Deregistered,
+  RunsOver,
   BackendLost
 };
 
 template <> struct ChartNames<SessionState> {
-  static constexpr std::array<std::string_view, 5> Values{
-      "reconciling", "serving", "unreachable", "leaving", "gone"};
+  static constexpr std::array<std::string_view, 6> Values{
+      "reconciling", "serving", "unreachable", "leaving", "closing", "gone"};
 };
 template <> struct ChartNames<SessionEvent> {
-  static constexpr std::array<std::string_view, 5> Values{
-      "noOrphans", "orphansFound", "notReached", "leave", "backendLost"};
+  static constexpr std::array<std::string_view, 7> Values{
+      "noOrphans",    "orphansFound", "notReached", "leave",
+      "deregistered", "runsOver",     "backendLost"};
 };
 
 } // namespace cyclamenwalk
--- a/packages/worker/internal/workerservice.cpp
+++ b/packages/worker/internal/workerservice.cpp
@@ -72,6 +72,7 @@
 }
 
 void WorkerService::announce(const BackendAnnouncement &Announcement) {
+  removeGoneSessions();
   SessionPointer Session = findSession(Announcement.m_Instance);
   if (!Session)
     return openSession(Announcement);
@@ -82,7 +83,6 @@
   bool IsLaterInstance = Announcement.m_InstanceStartedAt > SessionBornAt;
   if (!IsLaterInstance) {
     Session->updateAnnouncement(Announcement);
-    removeGoneSessions();
     return;
   }
   Session->receiveEvidence(LaterAnnouncement{});
@@ -109,10 +109,9 @@
 }
 
 void WorkerService::deregister(const std::string &Instance) {
-  if (SessionPointer Session = findSession(Instance)) {
+  if (SessionPointer Session = findSession(Instance))
     Session->receiveEvidence(Deregistration{});
-    removeGoneSessions();
-  }
+  removeGoneSessions();
 }
 
 void WorkerService::drain() {
--- a/packages/worker/tests/capacityproperty_test.cpp
+++ b/packages/worker/tests/capacityproperty_test.cpp
@@ -152,6 +152,8 @@
       startAgent();
     else if (Action == 9 && m_Server.draw(10) == 0)
       m_Server.refuseConnections(milliseconds(m_Server.draw(300)));
+    else if (Action == 9 && m_Server.draw(15) == 0)
+      m_Worker->deregister("i-1");
   }
 
   void place(const Peer &From) {
--- a/packages/worker/tests/mocks/backendcontrolfake.h
+++ b/packages/worker/tests/mocks/backendcontrolfake.h
@@ -32,6 +32,8 @@
 
   void stop(StopOrder Order, std::function<void(OrderReply)> Done) override {
     m_Stops.push_back(Order.m_Run);
+    if (m_LosesStops)
+      return;
     if (m_Running.erase(Order.m_Run) > 0)
       m_Ended.push_back({++m_LastEndNumber, Order.m_Run, RunOutcome::Stopped});
     Done({OrderOutcome::Done, m_Clock});
@@ -98,6 +100,8 @@
   /// Whether start orders get no reply and take effect only when the test
   /// passes them from m_DelayedStarts to executeStart().
   bool m_DelaysStarts = false;
+  /// Whether stop orders are lost on the way.
+  bool m_LosesStops = false;
   /// Whether start orders are kept, without effect, until answerStarts().
   bool m_KeepsStarts = false;
   /// Whether start orders are refused because a run of the task has ended.
--- a/packages/worker/tests/workerevidence_test.cpp
+++ b/packages/worker/tests/workerevidence_test.cpp
@@ -111,3 +111,50 @@
     EXPECT_EQ(Results[0].m_RunOutcome, RunOutcome::Stopped);
   }
 }
+
+/// Guards against tasks that run twice: a server goes on for seconds after its
+/// deregistration when the reply to that is lost.
+TEST_F(WorkerEvidenceTest, DeregistrationEndsNoRunBeforeItIsProven) {
+  serve();
+  place(makePlacement(7));
+  m_Control.m_LosesStops = true;
+  m_Worker->deregister("i-1");
+  EXPECT_EQ(m_Control.m_Stops.size(), 6u);
+  auto Results = takeResults();
+  ASSERT_EQ(Results.size(), 1u) << "only the run that waited is returned";
+  EXPECT_EQ(Results[0].m_RunOutcome, RunOutcome::NotStarted);
+  place(makePlacement(1, 2));
+  EXPECT_EQ(m_Control.m_Starts.size(), 6u);
+  takeResults();
+  m_Control.answerHolds();
+  ASSERT_FALSE(m_Control.m_Holds.empty());
+  EXPECT_EQ(m_Control.m_Holds[0].m_Order.m_LeaseUntil, Duration::zero())
+      << "the lease is not renewed any more";
+  m_Control.endRun({"job1.0", 1}, RunOutcome::Succeeded);
+  m_Control.answerHolds();
+  Results = takeResults();
+  ASSERT_EQ(Results.size(), 1u);
+  EXPECT_EQ(Results[0].m_RunOutcome, RunOutcome::Succeeded);
+  for (int I = 0; I < 40; ++I) {
+    m_Timers.advance(milliseconds(30));
+    m_Control.answerHolds(OrderOutcome::NotSent);
+  }
+  EXPECT_EQ(takeResults().size(), 5u) << "the lease has lapsed";
+  EXPECT_TRUE(m_Control.m_Holds.empty());
+}
+
+/// A server that goes on after a deregistration is used again once the runs of
+/// the closed session are over.
+TEST_F(WorkerEvidenceTest, ServerIsUsedAgainAfterAFalseDeregistration) {
+  serve();
+  place(makePlacement(1));
+  m_Worker->deregister("i-1");
+  m_Worker->announce(makeAnnouncement());
+  place(makePlacement(1, 2));
+  EXPECT_EQ(m_Control.m_Starts.size(), 1u) << "a run is being stopped";
+  m_Control.answerHolds();
+  m_Worker->announce(makeAnnouncement());
+  m_Control.answerHolds();
+  place(makePlacement(1, 3));
+  EXPECT_EQ(m_Control.m_Starts.size(), 2u);
+}
