--- a/packages/worker/internal/workerservice.cpp
+++ b/packages/worker/internal/workerservice.cpp
@@ -72,6 +72,7 @@
 }
 
 void WorkerService::announce(const BackendAnnouncement &Announcement) {
+  removeGoneSessions();
   SessionPointer Session = findSession(Announcement.m_Instance);
   if (!Session)
     return openSession(Announcement);
@@ -82,10 +83,9 @@
   bool IsLaterInstance = Announcement.m_InstanceStartedAt > SessionBornAt;
   if (!IsLaterInstance) {
     Session->updateAnnouncement(Announcement);
-    removeGoneSessions();
     return;
   }
-  Session->markLost(LaterAnnouncement{});
+  Session->receiveEvidence(LaterAnnouncement{});
   openSession(Announcement);
 }
 
@@ -109,10 +109,9 @@
 }
 
 void WorkerService::deregister(const std::string &Instance) {
-  if (SessionPointer Session = findSession(Instance)) {
-    Session->markLost(Deregistration{});
-    removeGoneSessions();
-  }
+  if (SessionPointer Session = findSession(Instance))
+    Session->receiveEvidence(Deregistration{});
+  removeGoneSessions();
 }
 
 void WorkerService::drain() {
