Links prove by an echo when their peer was alive

One of the causes: "heard" was the time at which a message was processed. A message that waited in a socket, or behind a pause of the reader, counted as a sign of life of that moment, and a heartbeat counted although an order to stop, sent before it, had been lost with its connection.

Each envelope now carries the sender's steady time of its first transmission and the latest such time received from the peer (5 bytes each). The echo of an own time proves that the peer was alive then or later, whatever delayed it; it counts only in a message before which none is missing, so that what the peer decided before that time has arrived. Heartbeats name the last sequence number, so that a lost message is noticed at the next heartbeat instead of after a stall. Peers that are entries are asked for an echo when their proof is 150 ms old, which keeps it below 200 ms on an idle link, and are given up when it is 750 ms old. An entry also passes on to agents for how long its callers have not been proven alive.

--- a/bench/control_bench.cpp
+++ b/bench/control_bench.cpp
@@ -29,6 +29,8 @@
       m_Starts.emplace_back(Agent, StartBody->m_Task, StartBody->m_Credit);
   }
   void disconnect(Incarnation) override {}
+  TimePoint provenAliveAt(Incarnation) const override { return {}; }
+  TimePoint callersAliveAt(Incarnation) const override { return {}; }
   bool isFlushed() const override { return true; }
 
   struct SentStart {
@@ -154,6 +156,8 @@
                        Grant->m_Credits.end());
   }
   void disconnect(Incarnation) override {}
+  TimePoint provenAliveAt(Incarnation) const override { return {}; }
+  TimePoint callersAliveAt(Incarnation) const override { return {}; }
   bool isFlushed() const override { return true; }
   std::deque<Credit> m_Credits;
 };
--- a/packages/job/tests/mocks/clusterfake.h
+++ b/packages/job/tests/mocks/clusterfake.h
@@ -39,6 +39,8 @@
           {m_Incarnation, To, std::move(Body)});
     }
     void disconnect(Incarnation) override {}
+    TimePoint provenAliveAt(Incarnation) const override { return {}; }
+    TimePoint callersAliveAt(Incarnation) const override { return {}; }
     bool isFlushed() const override { return true; }
 
   private:
--- a/packages/membership/ilinks.h
+++ b/packages/membership/ilinks.h
@@ -20,6 +20,9 @@
     std::function<void(const Peer &)> m_OnLinkDown;
     /// No reply came from an address passed to connect().
     std::function<void(const std::string &Address)> m_OnUnreachable;
+    /// When all processes on whose behalf this one acts were proven alive,
+    /// which agents are told; TimePoint::max() for none. May be left empty.
+    std::function<TimePoint()> m_CallersAliveAt;
   };
 
   virtual ~ILinks() = default;
@@ -36,6 +39,15 @@
   /// Closes the link after sending Goodbye.
   virtual void disconnect(Incarnation To) = 0;
 
+  /// A time at which the peer was alive and before which it has sent no message
+  /// that is still to come. It is proven by the echo of an own message, so that
+  /// no delay on the way and no pause of either process makes it too late. Zero
+  /// while nothing is proven.
+  virtual TimePoint provenAliveAt(Incarnation Peer) const = 0;
+
+  /// The same for the peer and all processes on whose behalf it acts.
+  virtual TimePoint callersAliveAt(Incarnation Peer) const = 0;
+
   /// Whether every message on the links that are up has been acknowledged.
   virtual bool isFlushed() const = 0;
 };
--- a/packages/membership/internal/link.h
+++ b/packages/membership/internal/link.h
@@ -40,6 +40,15 @@
   bool m_IsAcknowledgementPending = false;
   bool m_IsResendRequested = false;
 
+  /// The latest Envelope::m_SentAt received from the peer; zero before.
+  Duration m_PeerSentAt{};
+  /// Envelope::m_SentAt of the message that the next two come from.
+  Duration m_ProofSentAt{};
+  /// As returned by ILinks.
+  TimePoint m_ProvenAliveAt;
+  TimePoint m_CallersAliveAt;
+
+  TimePoint m_OpenedAt;
   TimePoint m_LastHeardAt;
   TimePoint m_LastSentAt;
   /// When the oldest message that was not acknowledged yet arrived.
--- a/packages/membership/internal/links.cpp
+++ b/packages/membership/internal/links.cpp
@@ -6,11 +6,20 @@
 
 namespace cyclamenwalk {
 
+namespace {
+
+/// Of readings of the clock in envelopes. The first reading is one step, since
+/// zero stands for none.
+constexpr Duration ClockStep = milliseconds(1);
+
+} // namespace
+
 Links::Links(ProcessIdentity Identity, LinkSettings Settings,
              const IChartSource &Charts, ITransport &Transport,
              ITimerService &Timers, IMetrics &Metrics)
     : m_Self(std::move(Identity)), m_Settings(Settings), m_Transport(Transport),
-      m_Timers(Timers), m_Metrics(Metrics), m_Chart(bindChart(Charts)),
+      m_Timers(Timers), m_ClockStart(Timers.now() - ClockStep),
+      m_Metrics(Metrics), m_Chart(bindChart(Charts)),
       // Starts from the incarnation, so that the links of an earlier one have
       // other numbers.
       m_NextNumber(static_cast<std::uint32_t>(m_Self.m_Incarnation.m_Value)) {
@@ -28,7 +37,9 @@
   return LinkChart(
       Charts.chart("link"),
       {{"hasFailed",
-        [this](const LinkEndpoint &Link) { return hasFailed(Link); }},
+        [this](const LinkEndpoint &Link) {
+          return hasExpired(Link) || isUnproven(Link);
+        }},
        {"isStalled",
         [this](const LinkEndpoint &Link) { return isStalled(Link); }},
        {"isReconnectDue",
@@ -49,7 +60,11 @@
             sendHello(Link, true);
         }},
        {"sendHeartbeat",
-        [this](LinkEndpoint &Link) { sendHeartbeat(Link, false); }},
+        [this](LinkEndpoint &Link) {
+          Heartbeat Body;
+          Body.m_RequestsReply = isProofDue(Link);
+          sendHeartbeat(Link, Body);
+        }},
        {"reconnect", [this](LinkEndpoint &Link) { reconnect(Link); }},
        {"notifyUp",
         [this](LinkEndpoint &Link) { m_Hooks.m_OnLinkUp(Link.m_Peer); }},
@@ -95,6 +110,16 @@
   fire(Link, LinkEvent::Close);
 }
 
+TimePoint Links::provenAliveAt(Incarnation Peer) const {
+  auto It = m_ByPeer.find(Peer);
+  return It == m_ByPeer.end() ? TimePoint{} : It->second->m_ProvenAliveAt;
+}
+
+TimePoint Links::callersAliveAt(Incarnation Peer) const {
+  auto It = m_ByPeer.find(Peer);
+  return It == m_ByPeer.end() ? TimePoint{} : It->second->m_CallersAliveAt;
+}
+
 bool Links::isFlushed() const {
   return std::all_of(m_ByPeer.begin(), m_ByPeer.end(),
                      [](const auto &PeerLink) {
@@ -140,7 +165,10 @@
     Link->m_Peer = NewPeer;
     m_ByNumber.emplace(Link->m_Number, Link);
     m_ByPeer.emplace(Incoming.m_Sender, Link);
+    recordSendTime(*Link, Incoming);
     sendHello(*Link, true);
+  } else {
+    recordSendTime(*Link, Incoming);
   }
   Link->m_LastHeardAt = m_Timers.now();
   fire(Link, LinkEvent::Hello);
@@ -169,7 +197,9 @@
     closeOlderLinks(NewPeer);
     Link->m_Peer = NewPeer;
     m_ByPeer.emplace(Incoming.m_Sender, Link);
+    recordProof(*Link, Incoming);
   }
+  recordSendTime(*Link, Incoming);
   Link->m_LastHeardAt = m_Timers.now();
   fire(Link, LinkEvent::Hello);
 }
@@ -201,6 +231,7 @@
   Link->m_State = m_Chart.initial();
   Link->m_Channel = m_Transport.open(Address);
   Link->m_LastHeardAt = Link->m_LastSentAt = Link->m_LastConnectAt = Now;
+  Link->m_OpenedAt = Now;
   LinkEndpoint *Raw = Link.get();
   Link->m_Timer = m_Timers.subscribeEvery(
       m_Settings.m_CheckPeriod, [this, Raw] { check(Raw->m_Number); });
@@ -234,16 +265,17 @@
 void Links::receiveOnLink(const LinkPointer &Link, Envelope &Incoming) {
   // After a pause of this process a message may be handled before the check of
   // the link. The peer has given the link up meanwhile.
-  if (hasFailed(*Link)) {
+  if (hasExpired(*Link)) {
     fire(Link, LinkEvent::Check);
     return;
   }
   Link->m_LastHeardAt = m_Timers.now();
+  recordSendTime(*Link, Incoming);
   removeAcknowledged(*Link, Incoming.m_Acknowledged);
   if (Link->m_State == LinkState::Stalled && !isStalled(*Link))
     fire(Link, LinkEvent::Progress);
   if (const auto *Body = std::get_if<Heartbeat>(&Incoming.m_Message)) {
-    receiveHeartbeat(*Link, *Body);
+    receiveHeartbeat(*Link, Incoming, *Body);
     return;
   }
   if (std::holds_alternative<Goodbye>(Incoming.m_Message)) {
@@ -253,13 +285,44 @@
   receiveSequenced(Link, Incoming);
 }
 
-void Links::receiveHeartbeat(LinkEndpoint &Link, const Heartbeat &Body) {
+void Links::receiveHeartbeat(LinkEndpoint &Link, const Envelope &Incoming,
+                             const Heartbeat &Body) {
+  if (Body.m_LastSequence == Link.m_LastReceivedSequence)
+    recordProof(Link, Incoming);
+  else if (Body.m_LastSequence > Link.m_LastReceivedSequence)
+    requestResend(Link);
   bool MayReconnect =
       m_Timers.now() - Link.m_LastConnectAt >= m_Settings.m_StallTimeout;
   if (Body.m_IsNotReceiving && MayReconnect)
     reconnect(Link);
   else if (Body.m_RequestsResend)
     resend(Link);
+  if (Body.m_RequestsReply)
+    sendHeartbeat(Link, {});
+}
+
+void Links::recordSendTime(LinkEndpoint &Link, const Envelope &Incoming) const {
+  Link.m_PeerSentAt = std::max(Link.m_PeerSentAt, Incoming.m_SentAt);
+}
+
+/// Takes the echo in a message before which none from the peer is missing: what
+/// the peer decided before the time of the echo has arrived.
+void Links::recordProof(LinkEndpoint &Link, const Envelope &Incoming) const {
+  TimePoint AliveAt = m_ClockStart + Incoming.m_Echo;
+  bool IsUsable = Incoming.m_Echo != Duration::zero() &&
+                  Incoming.m_SentAt >= Link.m_ProofSentAt &&
+                  AliveAt <= m_Timers.now();
+  if (!IsUsable)
+    return;
+  Link.m_ProofSentAt = Incoming.m_SentAt;
+  Link.m_ProvenAliveAt = std::max(Link.m_ProvenAliveAt, AliveAt);
+  Link.m_CallersAliveAt = AliveAt - Incoming.m_CallersSilence;
+}
+
+void Links::requestResend(LinkEndpoint &Link) {
+  if (!Link.m_IsResendRequested)
+    sendHeartbeat(Link, {.m_RequestsResend = true});
+  Link.m_IsResendRequested = true;
 }
 
 void Links::removeAcknowledged(LinkEndpoint &Link,
@@ -284,21 +347,37 @@
     return;
   }
   if (Incoming.m_Sequence > Link->m_LastReceivedSequence + 1) {
-    if (!Link->m_IsResendRequested)
-      transmit(*Link, makeEnvelope(*Link, Heartbeat{true, false}));
-    Link->m_IsResendRequested = true;
+    requestResend(*Link);
     return;
   }
   Link->m_IsResendRequested = false;
   Link->m_LastReceivedSequence = Incoming.m_Sequence;
+  recordProof(*Link, Incoming);
   m_Hooks.m_OnMessage(Link->m_Peer.m_Incarnation, Incoming.m_Message);
 }
 
+Duration Links::clockReading() const {
+  return std::chrono::floor<milliseconds>(m_Timers.now() - m_ClockStart);
+}
+
+/// Only agents limit what they do by it.
+Duration Links::callersSilence(const LinkEndpoint &Link) const {
+  if (Link.m_Peer.m_Role != Role::Agent || !m_Hooks.m_CallersAliveAt)
+    return Duration::zero();
+  Duration Silence = m_Timers.now() - m_Hooks.m_CallersAliveAt();
+  return std::chrono::ceil<milliseconds>(std::max(Silence, Duration::zero()));
+}
+
+/// The times are those of the first transmission also when a message is sent
+/// again: what it says may be that old.
 Envelope Links::makeEnvelope(const LinkEndpoint &Link, Message Body) const {
   Envelope Outgoing;
   Outgoing.m_Sender = m_Self.m_Incarnation;
   Outgoing.m_Receiver = Link.m_Peer.m_Incarnation;
   Outgoing.m_Link = Link.m_Number;
+  Outgoing.m_SentAt = clockReading();
+  Outgoing.m_Echo = Link.m_PeerSentAt;
+  Outgoing.m_CallersSilence = callersSilence(Link);
   Outgoing.m_Message = std::move(Body);
   return Outgoing;
 }
@@ -328,9 +407,10 @@
   sendHello(Link, false);
 }
 
-void Links::sendHeartbeat(LinkEndpoint &Link, bool IsNotReceiving) {
+void Links::sendHeartbeat(LinkEndpoint &Link, Heartbeat Body) {
   m_Metrics.count(Metric::HeartbeatsSent);
-  transmit(Link, makeEnvelope(Link, Heartbeat{IsNotReceiving, IsNotReceiving}));
+  Body.m_LastSequence = Link.m_LastSentSequence;
+  transmit(Link, makeEnvelope(Link, Body));
 }
 
 void Links::reconnect(LinkEndpoint &Link) {
@@ -343,7 +423,8 @@
   resend(Link);
   bool IsNotReceiving =
       m_Timers.now() - Link.m_LastHeardAt >= m_Settings.m_StallTimeout;
-  sendHeartbeat(Link, IsNotReceiving);
+  sendHeartbeat(Link, {.m_RequestsResend = IsNotReceiving,
+                       .m_IsNotReceiving = IsNotReceiving});
 }
 
 void Links::resend(LinkEndpoint &Link) {
@@ -353,11 +434,17 @@
     transmit(Link, Outgoing);
 }
 
-bool Links::hasFailed(const LinkEndpoint &Link) const {
+bool Links::hasExpired(const LinkEndpoint &Link) const {
   return m_Timers.now() - Link.m_LastHeardAt >= m_Settings.m_Lease ||
          Link.m_Unacknowledged.size() > m_Settings.m_MaxUnacknowledged;
 }
 
+bool Links::isUnproven(const LinkEndpoint &Link) const {
+  TimePoint AliveAt = std::max(Link.m_ProvenAliveAt, Link.m_OpenedAt);
+  return Link.m_Peer.m_Role == Role::Entry &&
+         m_Timers.now() - AliveAt >= m_Settings.m_ProofTimeout;
+}
+
 bool Links::isStalled(const LinkEndpoint &Link) const {
   TimePoint Now = m_Timers.now();
   bool IsAcknowledgementOverdue =
@@ -378,7 +465,20 @@
       Link.m_IsAcknowledgementPending &&
       Now - Link.m_OldestReceivedAt >= m_Settings.m_MaxAcknowledgementDelay;
   return IsAcknowledgementDue ||
-         Now - Link.m_LastSentAt >= m_Settings.m_HeartbeatPeriod;
+         Now - Link.m_LastSentAt >= m_Settings.m_HeartbeatPeriod ||
+         isProofDue(Link);
+}
+
+/// What an entry passes on about its callers is older than its own proof, by
+/// about as much as that may be old.
+bool Links::isProofDue(const LinkEndpoint &Link) const {
+  if (Link.m_Peer.m_Role != Role::Entry)
+    return false;
+  Duration MaxCallersAge =
+      2 * m_Settings.m_MaxProofAge + m_Settings.m_CheckPeriod;
+  TimePoint Now = m_Timers.now();
+  return Now - Link.m_ProvenAliveAt >= m_Settings.m_MaxProofAge ||
+         Now - Link.m_CallersAliveAt >= MaxCallersAge;
 }
 
 } // namespace cyclamenwalk
--- a/packages/membership/internal/links.h
+++ b/packages/membership/internal/links.h
@@ -24,6 +24,8 @@
   void connect(const std::string &Address) override;
   void send(Incarnation To, Message Body) override;
   void disconnect(Incarnation To) override;
+  TimePoint provenAliveAt(Incarnation Peer) const override;
+  TimePoint callersAliveAt(Incarnation Peer) const override;
   bool isFlushed() const override;
 
 private:
@@ -36,7 +38,11 @@
   void acceptHello(const Envelope &Incoming, const Hello &Body);
   void completeHello(const Envelope &Incoming, const Hello &Body);
   void receiveOnLink(const LinkPointer &Link, Envelope &Incoming);
-  void receiveHeartbeat(LinkEndpoint &Link, const Heartbeat &Body);
+  void receiveHeartbeat(LinkEndpoint &Link, const Envelope &Incoming,
+                        const Heartbeat &Body);
+  void recordSendTime(LinkEndpoint &Link, const Envelope &Incoming) const;
+  void recordProof(LinkEndpoint &Link, const Envelope &Incoming) const;
+  void requestResend(LinkEndpoint &Link);
   bool isSuperseded(const Envelope &Incoming) const;
   void removeAcknowledged(LinkEndpoint &Link, std::uint64_t LastAcknowledged);
   void receiveSequenced(const LinkPointer &Link, Envelope &Incoming);
@@ -48,24 +54,31 @@
   void check(std::uint32_t Number);
   void removeLink(LinkEndpoint &Link);
 
+  Duration clockReading() const;
+  Duration callersSilence(const LinkEndpoint &Link) const;
   Envelope makeEnvelope(const LinkEndpoint &Link, Message Body) const;
   void transmit(LinkEndpoint &Link, Envelope Outgoing);
   void sendHello(LinkEndpoint &Link, bool IsReply);
   void restartHandshake(LinkEndpoint &Link);
-  void sendHeartbeat(LinkEndpoint &Link, bool IsNotReceiving);
+  void sendHeartbeat(LinkEndpoint &Link, Heartbeat Body);
   void reconnect(LinkEndpoint &Link);
   void resend(LinkEndpoint &Link);
 
   /// Whether the lease has expired or too many messages are unacknowledged.
-  bool hasFailed(const LinkEndpoint &Link) const;
+  bool hasExpired(const LinkEndpoint &Link) const;
+  /// Whether the peer is an entry that is no longer proven alive.
+  bool isUnproven(const LinkEndpoint &Link) const;
   bool isStalled(const LinkEndpoint &Link) const;
   bool isReconnectDue(const LinkEndpoint &Link) const;
   bool isHeartbeatDue(const LinkEndpoint &Link) const;
+  bool isProofDue(const LinkEndpoint &Link) const;
 
   const ProcessIdentity m_Self;
   const LinkSettings m_Settings;
   ITransport &m_Transport;
   ITimerService &m_Timers;
+  /// Readings of this process's clock in envelopes are relative to this.
+  const TimePoint m_ClockStart;
   IMetrics &m_Metrics;
   const LinkChart m_Chart;
   Hooks m_Hooks;
--- a/packages/membership/tests/links_test.cpp
+++ b/packages/membership/tests/links_test.cpp
@@ -7,6 +7,26 @@
 
 using Numbers = std::vector<std::uint32_t>;
 
+namespace {
+
+/// As between the processes of a site with short latency objectives.
+LinkSettings shortPeriods() {
+  LinkSettings Settings;
+  Settings.m_CheckPeriod = milliseconds(100);
+  Settings.m_MaxAcknowledgementDelay = milliseconds(150);
+  Settings.m_HeartbeatPeriod = milliseconds(250);
+  Settings.m_StallTimeout = milliseconds(450);
+  Settings.m_HelloRetryPeriod = milliseconds(100);
+  Settings.m_Lease = milliseconds(800);
+  Settings.m_MaxProofAge = milliseconds(150);
+  Settings.m_ProofTimeout = milliseconds(750);
+  return Settings;
+}
+
+bool isAlwaysLost(const Envelope &) { return true; }
+
+} // namespace
+
 TEST(Links, bothEndsComeUpAndDeliver) {
   LinkPair Pair;
   Pair.connect();
@@ -169,6 +189,135 @@
   EXPECT_EQ(Pair.m_Entry.m_DownCount, 1);
 }
 
+/// An agent that was paused reads what its sockets kept, long after the sender
+/// has ended.
+TEST(Links, messageThatWaitedDoesNotProveThatItsSenderIsAlive) {
+  LinkPair Pair(shortPeriods());
+  Pair.connect();
+  Pair.sendFromEntry(1);
+  TimePoint SentAt = Pair.m_Timers.now();
+  Pair.m_Timers.pause(milliseconds(500));
+  LinkPair::moveMessages(Pair.m_Entry.m_Transport, Pair.m_Agent);
+  EXPECT_EQ(Pair.m_Agent.m_Received, Numbers{1});
+  EXPECT_LE(Pair.entryProvenAt(), SentAt);
+}
+
+TEST(Links, agentOfAnIdleLinkKnowsThatItsEntryIsAlive) {
+  LinkPair Pair(shortPeriods());
+  Pair.connect();
+  for (int Step = 0; Step < 200; ++Step) {
+    Pair.advance(milliseconds(50));
+    EXPECT_LE(Pair.m_Timers.now() - Pair.entryProvenAt(), milliseconds(200));
+  }
+  // One in 200 ms.
+  EXPECT_LE(Pair.m_Agent.m_Metrics.of(Metric::HeartbeatsSent), 50u);
+  EXPECT_LE(Pair.m_Entry.m_Metrics.of(Metric::HeartbeatsSent), 50u);
+}
+
+/// An order to stop is lost with its connection, and heartbeats follow it.
+TEST(Links, nothingIsProvenWhileAnEarlierMessageIsMissing) {
+  LinkPair Pair(shortPeriods());
+  Pair.connect();
+  Pair.advance(milliseconds(250));
+  Pair.m_Entry.m_Transport.m_IsMessageLost = [](const Envelope &Outgoing) {
+    return Outgoing.m_Sequence > 0;
+  };
+  Pair.sendFromEntry(1);
+  TimePoint SentAt = Pair.m_Timers.now();
+  Pair.advance(milliseconds(400));
+  EXPECT_LE(Pair.entryProvenAt(), SentAt);
+  Pair.m_Entry.m_Transport.m_IsMessageLost = nullptr;
+  Pair.advance(milliseconds(300));
+  ASSERT_EQ(Pair.m_Agent.m_Received, Numbers{1});
+  EXPECT_LE(Pair.m_Agent.m_ProvenAtReceipt[0], SentAt)
+      << "what it says was decided then";
+  EXPECT_GT(Pair.entryProvenAt(), SentAt);
+}
+
+/// No later message is needed to reveal the gap.
+TEST(Links, heartbeatRevealsALostMessage) {
+  LinkPair Pair(shortPeriods());
+  Pair.connect();
+  Pair.m_Entry.m_Transport.m_IsMessageLost = isAlwaysLost;
+  Pair.sendFromEntry(1);
+  Pair.m_Entry.m_Transport.m_IsMessageLost = nullptr;
+  Pair.advance(milliseconds(300));
+  EXPECT_EQ(Pair.m_Agent.m_Received, Numbers{1});
+}
+
+/// The agent hears the entry, which does not hear the agent.
+TEST(Links, entryThatIsNotProvenAliveIsGivenUp) {
+  LinkPair Pair(shortPeriods());
+  Pair.connect();
+  Pair.m_Agent.m_Transport.m_IsMessageLost = isAlwaysLost;
+  Pair.advance(milliseconds(850));
+  EXPECT_EQ(Pair.m_Agent.m_DownCount, 1);
+}
+
+TEST(Links, entryPassesOnHowLongItsCallersHaveBeenSilent) {
+  LinkPair Pair(shortPeriods());
+  Pair.connect();
+  Pair.m_Entry.m_CallersAliveAt = Pair.m_Timers.now();
+  Pair.advance(milliseconds(600));
+  Incarnation Entry = Pair.m_Entry.m_Self.m_Incarnation;
+  EXPECT_LE(Pair.m_Agent.m_Links.callersAliveAt(Entry),
+            Pair.m_Entry.m_CallersAliveAt);
+  EXPECT_GE(Pair.m_Agent.m_Links.callersAliveAt(Entry),
+            Pair.m_Entry.m_CallersAliveAt - milliseconds(200));
+  EXPECT_GT(Pair.entryProvenAt(), Pair.m_Entry.m_CallersAliveAt);
+  Pair.m_Entry.m_CallersAliveAt = TimePoint::max();
+  Pair.advance(milliseconds(200));
+  EXPECT_EQ(Pair.m_Agent.m_Links.callersAliveAt(Entry), Pair.entryProvenAt());
+}
+
+// Whatever is lost, delayed, repeated or reordered, and whenever the agent
+// pauses, an entry is not proven alive after its end, nor after it has sent a
+// message that the agent has not received.
+TEST(Links, proofIsNeverLaterThanTheEndOfTheEntryOrAMissingMessage) {
+  EXPECT_TRUE(rc::check("the proof is sound", [] {
+    LinkPair Pair(shortPeriods());
+    Pair.connect();
+    std::vector<TimePoint> SentAt;
+    auto Check = [&] {
+      std::size_t Received = Pair.m_Agent.m_Received.size();
+      if (Received < SentAt.size())
+        RC_ASSERT(Pair.entryProvenAt() <= SentAt[Received]);
+    };
+    auto Steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 9));
+    for (int Step : Steps) {
+      auto &InFlight = Pair.m_Entry.m_Transport.m_InFlight;
+      if (Step == 0) {
+        Pair.sendFromEntry(static_cast<std::uint32_t>(SentAt.size()));
+        SentAt.push_back(Pair.m_Timers.now());
+      } else if (Step == 1 && !InFlight.empty()) {
+        InFlight.erase(InFlight.begin());
+      } else if (Step == 2 && !InFlight.empty()) {
+        InFlight.push_back(InFlight.front());
+      } else if (Step == 3 && InFlight.size() > 1) {
+        std::swap(InFlight.front(), InFlight.back());
+      } else if (Step == 4) {
+        Pair.m_Entry.m_Transport.stallConnections();
+      } else if (Step == 5) {
+        Pair.m_Timers.pause(milliseconds(130));
+      } else if (Step == 6) {
+        Pair.sendFromAgent(1);
+        LinkPair::moveMessages(Pair.m_Agent.m_Transport, Pair.m_Entry);
+      } else if (Step == 7) {
+        LinkPair::moveMessages(Pair.m_Entry.m_Transport, Pair.m_Agent);
+      } else {
+        Pair.m_Timers.advance(milliseconds(60));
+      }
+      Check();
+    }
+    TimePoint EndedAt = Pair.m_Timers.now();
+    Pair.m_Entry.m_Transport.m_IsMessageLost = isAlwaysLost;
+    Pair.m_Timers.pause(milliseconds(200));
+    LinkPair::moveMessages(Pair.m_Entry.m_Transport, Pair.m_Agent);
+    RC_ASSERT(Pair.entryProvenAt() <= EndedAt);
+    Check();
+  }));
+}
+
 // Random losses, duplicates, reordering and stalled connections must not break
 // the order or duplicate a message. All messages arrive, as the faults end
 // before the lease expires.
--- a/packages/membership/tests/mocks/linkpair.h
+++ b/packages/membership/tests/mocks/linkpair.h
@@ -65,18 +65,21 @@
 /// A process at one end of a link, with what its hooks received.
 struct TestProcess {
   explicit TestProcess(const std::string &Name, std::uint64_t Number,
-                       Role ProcessRole, ManualTimerService &Timers)
+                       Role ProcessRole, ManualTimerService &Timers,
+                       LinkSettings Settings = {})
       : m_Self{Name, Incarnation{Number}, "127.0.0.1:" + std::to_string(Number),
                "domain", ProcessRole},
-        m_Links(m_Self, LinkSettings{}, m_Charts, m_Transport, Timers,
-                m_Metrics) {
+        m_Links(m_Self, Settings, m_Charts, m_Transport, Timers, m_Metrics) {
     m_Links.setHooks({[this](const Peer &) { ++m_UpCount; },
-                      [this](Incarnation, Message &Body) {
+                      [this](Incarnation From, Message &Body) {
+                        m_ProvenAtReceipt.push_back(
+                            m_Links.provenAliveAt(From));
                         if (auto *DemandBody = std::get_if<Demand>(&Body))
                           m_Received.push_back(DemandBody->m_Waiting);
                       },
                       [this](const Peer &) { ++m_DownCount; },
-                      [this](const std::string &) { ++m_UnreachableCount; }});
+                      [this](const std::string &) { ++m_UnreachableCount; },
+                      [this] { return m_CallersAliveAt; }});
   }
 
   ChartFolder m_Charts{CW_CHART_DIR};
@@ -86,6 +89,10 @@
   Links m_Links;
   /// The m_Waiting of each Demand, by which the tests number messages.
   std::vector<std::uint32_t> m_Received;
+  /// ILinks::provenAliveAt() of the sender as each message was received.
+  std::vector<TimePoint> m_ProvenAtReceipt;
+  /// What the links pass on to agents.
+  TimePoint m_CallersAliveAt = TimePoint::max();
   int m_UpCount = 0;
   int m_DownCount = 0;
   int m_UnreachableCount = 0;
@@ -93,6 +100,10 @@
 
 /// An agent and an entry that are connected by fake transports.
 struct LinkPair {
+  explicit LinkPair(LinkSettings Settings = {})
+      : m_Agent("agent-1", 11, Role::Agent, m_Timers, Settings),
+        m_Entry("entry-1", 22, Role::Entry, m_Timers, Settings) {}
+
   /// Delivers messages until none is in flight.
   void deliver() {
     while (!m_Agent.m_Transport.m_InFlight.empty() ||
@@ -119,6 +130,15 @@
     m_Agent.m_Links.send(m_Entry.m_Self.m_Incarnation, Demand{Number, {}});
   }
 
+  void sendFromEntry(std::uint32_t Number) {
+    m_Entry.m_Links.send(m_Agent.m_Self.m_Incarnation, Demand{Number, {}});
+  }
+
+  /// When the agent has proof that the entry was alive.
+  TimePoint entryProvenAt() const {
+    return m_Agent.m_Links.provenAliveAt(m_Entry.m_Self.m_Incarnation);
+  }
+
   static void moveMessages(TransportFake &From, TestProcess &To) {
     std::vector<Envelope> Envelopes;
     Envelopes.swap(From.m_InFlight);
@@ -127,8 +147,8 @@
   }
 
   ManualTimerService m_Timers;
-  TestProcess m_Agent{"agent-1", 11, Role::Agent, m_Timers};
-  TestProcess m_Entry{"entry-1", 22, Role::Entry, m_Timers};
+  TestProcess m_Agent;
+  TestProcess m_Entry;
 };
 
 } // namespace cyclamenwalk
--- a/packages/membership/tests/mocks/linksfake.h
+++ b/packages/membership/tests/mocks/linksfake.h
@@ -3,6 +3,8 @@
 
 #include "membership/ilinks.h"
 
+#include <algorithm>
+#include <map>
 #include <utility>
 #include <vector>
 
@@ -17,6 +19,12 @@
     m_Sent.emplace_back(To, std::move(Body));
   }
   void disconnect(Incarnation To) override { m_Disconnected.push_back(To); }
+  TimePoint provenAliveAt(Incarnation Peer) const override {
+    return findOr(m_ProvenAliveAt, Peer);
+  }
+  TimePoint callersAliveAt(Incarnation Peer) const override {
+    return std::min(findOr(m_CallersAliveAt, Peer), provenAliveAt(Peer));
+  }
   bool isFlushed() const override { return true; }
 
   /// The sent messages of one type, in order, with their receivers.
@@ -29,7 +37,18 @@
   }
 
   std::vector<std::pair<Incarnation, Message>> m_Sent;
+  /// Peers that are not listed are always proven alive.
+  std::map<Incarnation, TimePoint> m_ProvenAliveAt;
+  std::map<Incarnation, TimePoint> m_CallersAliveAt;
   std::vector<Incarnation> m_Disconnected;
+
+private:
+  static TimePoint findOr(const std::map<Incarnation, TimePoint> &Times,
+                          Incarnation Peer) {
+    auto It = Times.find(Peer);
+    return It == Times.end() ? TimePoint::max() - std::chrono::hours(1)
+                             : It->second;
+  }
 };
 
 } // namespace cyclamenwalk
--- a/packages/message/types/messages.h
+++ b/packages/message/types/messages.h
@@ -41,6 +41,11 @@
   /// Requests that the receiver replaces its connection, because nothing
   /// arrives from it.
   bool m_IsNotReceiving = false;
+  /// Requests a heartbeat at once, for the echo that it carries.
+  bool m_RequestsReply = false;
+  /// The sequence number of the last sequenced message sent before, so that the
+  /// receiver notices a lost one.
+  std::uint64_t m_LastSequence = 0;
 };
 
 /// Closes the link.
@@ -185,6 +190,16 @@
   std::uint64_t m_Sequence = 0;
   /// The highest sequence number received in order from the receiver.
   std::uint64_t m_Acknowledged = 0;
+  /// When the message was first sent, by a steady clock of the sender; opaque
+  /// to the receiver. In whole milliseconds, like the other times here.
+  Duration m_SentAt{};
+  /// The latest m_SentAt that the sender had received from the receiver; zero
+  /// for none. Proves to the receiver that the sender was alive at that time or
+  /// later.
+  Duration m_Echo{};
+  /// The longest time for which one of the processes on whose behalf the sender
+  /// acts had not been proven alive when the message was first sent.
+  Duration m_CallersSilence{};
   Message m_Message;
 };
 
--- a/packages/protocol/internal/codec.cpp
+++ b/packages/protocol/internal/codec.cpp
@@ -12,9 +12,11 @@
 
 namespace {
 
-/// The protocol version, the five fields of the envelope, the message type and
+/// The protocol version, the eight fields of the envelope, the message type and
 /// the message.
-constexpr std::uint32_t EnvelopeElementCount = 8;
+constexpr std::uint32_t EnvelopeElementCount = 11;
+/// Greater times in an envelope are forged; they would overflow a Duration.
+constexpr std::uint64_t MaxEnvelopeMilliseconds = 1ULL << 40;
 
 [[noreturn]] void failMalformed(const std::string &Detail) {
   throw Error(ResultCode::MalformedMessage, Detail);
@@ -147,6 +149,19 @@
   }
 }
 
+/// Times of envelopes are sent as whole milliseconds, to save bytes.
+std::uint64_t packMilliseconds(Duration Span) {
+  return static_cast<std::uint64_t>(toMilliseconds(Span));
+}
+
+Duration unpackMilliseconds(const msgpack::object &Object) {
+  auto Count = Object.as<std::uint64_t>();
+  if (Count > MaxEnvelopeMilliseconds)
+    failMalformed(std::to_string(Count) + " ms in the envelope, expected at " +
+                  "most " + std::to_string(MaxEnvelopeMilliseconds));
+  return milliseconds(Count);
+}
+
 Envelope unpackEnvelope(const msgpack::object &Root) {
   const auto &Elements = Unpacker::array(Root);
   if (Elements.size == 0)
@@ -167,8 +182,11 @@
   FieldUnpacker.get(Elements.ptr[3], Value.m_Link);
   FieldUnpacker.get(Elements.ptr[4], Value.m_Sequence);
   FieldUnpacker.get(Elements.ptr[5], Value.m_Acknowledged);
+  Value.m_SentAt = unpackMilliseconds(Elements.ptr[6]);
+  Value.m_Echo = unpackMilliseconds(Elements.ptr[7]);
+  Value.m_CallersSilence = unpackMilliseconds(Elements.ptr[8]);
   Value.m_Message =
-      unpackMessage(Elements.ptr[6].as<std::size_t>(), Elements.ptr[7]);
+      unpackMessage(Elements.ptr[9].as<std::size_t>(), Elements.ptr[10]);
   return Value;
 }
 
@@ -184,6 +202,9 @@
   EnvelopePacker.put(Value.m_Link);
   EnvelopePacker.put(Value.m_Sequence);
   EnvelopePacker.put(Value.m_Acknowledged);
+  EnvelopePacker.put(packMilliseconds(Value.m_SentAt));
+  EnvelopePacker.put(packMilliseconds(Value.m_Echo));
+  EnvelopePacker.put(packMilliseconds(Value.m_CallersSilence));
   EnvelopePacker.put(std::uint64_t(Value.m_Message.index()));
   std::visit([&EnvelopePacker](const auto &Body) { EnvelopePacker.put(Body); },
              Value.m_Message);
--- a/packages/protocol/internal/fields.h
+++ b/packages/protocol/internal/fields.h
@@ -12,7 +12,8 @@
         Value.m_ProcessorMilliCores, Value.m_IsReply);
 }
 template <typename Call> void visitFields(Heartbeat &Value, Call &&Visit) {
-  Visit(Value.m_RequestsResend, Value.m_IsNotReceiving);
+  Visit(Value.m_RequestsResend, Value.m_IsNotReceiving, Value.m_RequestsReply,
+        Value.m_LastSequence);
 }
 template <typename Call> void visitFields(Goodbye &, Call &&Visit) { Visit(); }
 template <typename Call> void visitFields(BackendState &Value, Call &&Visit) {
--- a/packages/protocol/tests/codec_test.cpp
+++ b/packages/protocol/tests/codec_test.cpp
@@ -22,6 +22,9 @@
   Value.m_Link = 5;
   Value.m_Sequence = 6;
   Value.m_Acknowledged = 4;
+  Value.m_SentAt = milliseconds(70'000);
+  Value.m_Echo = milliseconds(69'900);
+  Value.m_CallersSilence = milliseconds(250);
   Value.m_Message = Body;
   return Value;
 }
@@ -51,6 +54,9 @@
   Envelope Decoded = decode(encode(makeStartEnvelope()));
   EXPECT_EQ(Decoded.m_Sender, Incarnation{1});
   EXPECT_EQ(Decoded.m_Sequence, 6u);
+  EXPECT_EQ(Decoded.m_SentAt, milliseconds(70'000));
+  EXPECT_EQ(Decoded.m_Echo, milliseconds(69'900));
+  EXPECT_EQ(Decoded.m_CallersSilence, milliseconds(250));
   const Start &Body = std::get<Start>(Decoded.m_Message);
   EXPECT_EQ(Body.m_Task, (TaskId{JobId{Incarnation{~0ULL}, 3}, 879}));
   EXPECT_EQ(Body.m_Payload, std::string("\0\xff{}", 4));
@@ -87,6 +93,22 @@
   EXPECT_EQ(decodeErrorCode(encode(Value)), ResultCode::MalformedMessage);
 }
 
+/// The time would overflow when it is converted to nanoseconds.
+TEST(Codec, refusesATimeThatCannotBeRepresented) {
+  Envelope Value;
+  Value.m_Echo = milliseconds((1LL << 40) + 1);
+  EXPECT_EQ(decodeErrorCode(encode(Value)), ResultCode::MalformedMessage);
+}
+
+/// The smallest links have 25 Mbit/s, and most messages on an idle one are
+/// heartbeats.
+TEST(Codec, heartbeatIsSmall) {
+  Envelope Value = makeStartEnvelope();
+  Value.m_Message = Heartbeat{};
+  Value.m_SentAt = Value.m_Echo = std::chrono::hours(24);
+  EXPECT_LE(encode(Value).size(), 40u);
+}
+
 TEST(Codec, refusesOtherVersionsOversizeAndMalformedInput) {
   std::string Bytes = encode(makeStartEnvelope());
   EXPECT_EQ(decodeErrorCode(Bytes, Bytes.size() - 1),
