The lease at a server ends before the callers of a silent entry send again

An agent renewed the lease of all runs for a full second until it gave the entry up after 0.8 s of silence, so an agent that stopped to act left runs up to 1.8 s after the loss; callers send a job again after 1.3 s.

The lease now ends at the latest 1.15 s after each entry that has runs in progress, and its callers, were proven alive (ILinks::callersAliveAt). With the server's clock 2 % slow and a stop taking 50 ms, runs have ended after 1.23 s. A run that is stopped on request keeps the limit that was proven before the request, until the server lists its end: unanswered stops of a lost entry, or of a job whose caller left, end with the lease. A lease can't be shortened, so no run starts under one that outlasts its limit; it waits for a newer proof, and others pass it. A lease lasts 0.7 s in place of 1 s, so that this hardly ever happens: proofs are up to 0.2 s old in steady state, 0.4 s for forwarded jobs. A lost entry is noticed 0.75 to 0.85 s after its last proof, which leaves 0.3 s to stop its runs before those of the other entries would lapse.

That a server's runs have lapsed is computed from the latest end of a lease that any order has carried, no longer from the last order plus a full lease.

Failing before (with the lease of one second and no limit): LeaseTest.RunsEndBeforeTheCallersOfADeadEntrySendTheirJobsAgain Expected: (endedBy()) < (DiedAt + ResendTime) LeaseTest.StopsOfALostEntryWithoutAnswerEndWithTheLease LeaseTest.StopOfAJobWithoutAnswerEndsWithTheLease LeaseTest.NoRunStartsUnderALeaseThatOutlastsIt Now worker_test passes (35 tests).

--- a/packages/worker/internal/backendsession.h
+++ b/packages/worker/internal/backendsession.h
@@ -32,6 +32,8 @@
     std::function<void()> m_Changed;
     /// By its progress, a run cannot end before its job's deadline.
     std::function<void(const Run &)> m_DeadlineUnreachable;
+    /// The latest end of runs that the entry has placed.
+    std::function<TimePoint(Incarnation Entry)> m_RunLimit;
   };
 
   BackendSession(BackendAnnouncement Announcement, WorkerSettings Settings,
@@ -60,6 +62,11 @@
   /// Stops the runs for which \p Matches returns true.
   void stopRuns(const std::function<bool(const Run &)> &Matches);
 
+  /// Lets the lease end by \p EndBy unless the runs for which \p Matches
+  /// returns true have ended before. Returns their number.
+  std::size_t limitRuns(const std::function<bool(const Run &)> &Matches,
+                        TimePoint EndBy);
+
   /// Whether runs that \p Entry placed here have not ended.
   bool hasRunsOf(Incarnation Entry) const;
 
@@ -88,6 +95,9 @@
   void dropWaitingRuns();
   void stopOrphans();
 
+  TimePoint limitOf(const Run &Limited) const;
+  TimePoint leaseLimit();
+  bool mayStart(const Run &Waiting) const;
   void startWaitingRuns();
   void sendStart(Run &Started);
   void receiveStartReply(const RunId &Id, std::uint64_t Token,
@@ -120,6 +130,8 @@
   RunTable m_Runs;
   BackendHealth m_Health;
   ServerLink m_Server;
+  /// Whether a run keeps the lease shorter than usual.
+  bool m_IsLeaseCut = false;
   /// Jobs whose failure has been counted in m_Health.
   std::set<JobId> m_FailedJobs;
   /// Runs in progress that this agent did not start.
--- a/packages/worker/internal/run.h
+++ b/packages/worker/internal/run.h
@@ -7,6 +7,7 @@
 #include "worker/types/backend.h"
 
 #include <memory>
+#include <optional>
 
 namespace cyclamenwalk {
 
@@ -80,6 +81,9 @@
   bool m_HasProgressed = false;
   /// Whether the entry was told that the run cannot meet its deadline.
   bool m_IsDeadlineMissReported = false;
+  /// Latest end of a run that was stopped on request; later its caller may have
+  /// sent the job again.
+  std::optional<TimePoint> m_EndBy;
   /// When the last stop order was sent; zero before.
   TimePoint m_StopSentAt;
   TimerId m_ExpiryTimer = 0;
--- a/packages/worker/internal/runtable.cpp
+++ b/packages/worker/internal/runtable.cpp
@@ -62,8 +62,12 @@
   }
 }
 
-RunPointer RunTable::nextToStart(TimePoint Now) const {
+RunPointer
+RunTable::nextToStart(TimePoint Now,
+                      const std::function<bool(const Run &)> &MayStart) const {
   for (const auto &Item : m_Queue) {
+    if (!MayStart(*Item.second))
+      continue;
     if (free().canFit(Item.second->m_Job->m_Required))
       return Item.second;
     bool MayBeOvertaken = Item.first - Now > MinOvertakeMargin;
--- a/packages/worker/internal/runtable.h
+++ b/packages/worker/internal/runtable.h
@@ -3,6 +3,7 @@
 
 #include "worker/internal/run.h"
 
+#include <functional>
 #include <map>
 #include <vector>
 
@@ -37,7 +38,10 @@
   /// The first run of the queue that fits into the free resources. A large run
   /// that does not fit is overtaken by smaller ones only while its order key is
   /// well ahead, so that they cannot starve it.
-  RunPointer nextToStart(TimePoint Now) const;
+  /// Runs for which \p MayStart returns false are passed over.
+  RunPointer
+  nextToStart(TimePoint Now,
+              const std::function<bool(const Run &)> &MayStart) const;
 
   /// Counts the resources of a run as used until releaseResources().
   void reserveResources(const Run &Started);
--- a/packages/worker/internal/serverlink.cpp
+++ b/packages/worker/internal/serverlink.cpp
@@ -2,6 +2,8 @@
 
 #include "core/log.h"
 
+#include <algorithm>
+
 namespace cyclamenwalk {
 
 ServerLink::ServerLink(std::string Address, std::string Instance,
@@ -10,7 +12,9 @@
     : m_Address(std::move(Address)), m_Instance(std::move(Instance)),
       m_Settings(Settings), m_Control(Dependencies.m_Control),
       m_Timers(Dependencies.m_Timers), m_Hooks(std::move(Callbacks)),
-      m_Token(Dependencies.m_MakeFencingToken()), m_LeaseSentAt(m_Timers.now()),
+      m_Token(Dependencies.m_MakeFencingToken()),
+      // An earlier agent may have renewed the lease until now.
+      m_LeaseEndsAt(m_Timers.now() + Settings.m_Lease),
       m_LastReplyAt(m_Timers.now()) {}
 
 ServerLink::~ServerLink() { m_Timers.cancel(m_Timer); }
@@ -114,8 +118,7 @@
     return m_Hooks.m_BackendLost("nothing listens at its address");
   if (Reply.m_Outcome == OrderOutcome::WrongInstance)
     return m_Hooks.m_BackendLost("another instance replied");
-  Duration MaxLeaseAge = m_Settings.m_Lease + m_Settings.m_LeaseMargin;
-  if (m_Timers.now() - m_LeaseSentAt > MaxLeaseAge)
+  if (hasLapsed())
     return m_Hooks.m_BackendLost("its lease expired without a reply");
   if (Reply.m_Outcome == OrderOutcome::Fenced) {
     m_Token += m_TokenStep;
@@ -144,10 +147,22 @@
   m_ServerClockReadAt = m_Timers.now();
 }
 
+/// Returns the new end of the lease by the server's clock, zero if the lease
+/// must not be extended.
 Duration ServerLink::extendLease() {
-  m_LeaseSentAt = m_Timers.now();
-  return m_ServerClock + (m_Timers.now() - m_ServerClockReadAt) +
-         m_Settings.m_Lease;
+  TimePoint Now = m_Timers.now();
+  TimePoint EndsAt = std::min(Now + m_Settings.m_Lease, m_Hooks.m_LeaseLimit());
+  if (EndsAt <= Now)
+    return Duration::zero();
+  m_LeaseEndsAt = std::max(m_LeaseEndsAt, EndsAt);
+  return m_ServerClock + (EndsAt - m_ServerClockReadAt);
+}
+
+/// Whether a server that does not reply has ended all runs for want of a lease.
+bool ServerLink::hasLapsed() const {
+  TimePoint Now = m_Timers.now();
+  return Now - m_LeaseEndsAt > m_Settings.m_LeaseMargin &&
+         Now - m_LastReplyAt >= m_Settings.m_RenewalTimeout;
 }
 
 } // namespace cyclamenwalk
--- a/packages/worker/internal/serverlink.h
+++ b/packages/worker/internal/serverlink.h
@@ -27,6 +27,8 @@
     /// Whether runs are in progress; if so, their progress is polled more
     /// often.
     std::function<bool()> m_HasRuns;
+    /// The lease of the runs in progress must not end later.
+    std::function<TimePoint()> m_LeaseLimit;
   };
 
   ServerLink(std::string Address, std::string Instance, WorkerSettings Settings,
@@ -35,6 +37,9 @@
 
   std::uint64_t token() const { return m_Token; }
 
+  /// The latest end of a lease that any order has carried.
+  TimePoint leaseEndsAt() const { return m_LeaseEndsAt; }
+
   /// Requests the lists of runs without renewing the lease.
   void requestLists(Duration Delay = Duration::zero());
 
@@ -67,6 +72,7 @@
   OrderTarget target() const;
   void updateClock(Duration ServerClock);
   Duration extendLease();
+  bool hasLapsed() const;
 
   /// More than one life of an agent can raise its token by. The server may not
   /// have seen the highest token of an earlier life, of which orders can still
@@ -88,8 +94,7 @@
   /// The server's clock at m_ServerClockReadAt.
   Duration m_ServerClock{};
   TimePoint m_ServerClockReadAt;
-  /// When the last order that extended the lease was sent.
-  TimePoint m_LeaseSentAt;
+  TimePoint m_LeaseEndsAt;
   TimePoint m_LastReplyAt;
   TimerId m_Timer = 0;
   /// Callbacks hold a weak pointer to this and do nothing once it has expired.
--- a/packages/worker/internal/workerservice.cpp
+++ b/packages/worker/internal/workerservice.cpp
@@ -99,7 +99,8 @@
       BackendSession::Hooks{
           [this](const Run &Ended) { recordResult(Ended); },
           [this] { recordChange(); },
-          [this](const Run &Late) { reportDeadlineMiss(Late); }}));
+          [this](const Run &Late) { reportDeadlineMiss(Late); },
+          [this](Incarnation Entry) { return runLimit(Entry); }}));
 }
 
 void WorkerService::removeGoneSessions() {
@@ -127,17 +128,36 @@
 
 void WorkerService::entryDown(const Peer &Entry) {
   m_Entries.erase(Entry.m_Incarnation);
+  stopRuns(Entry.m_Incarnation, "entry_lost", [&Entry](const Run &Placed) {
+    return Placed.m_Job->m_Entry == Entry.m_Incarnation;
+  });
+}
+
+/// Until the server lists their ends, the runs keep the lease from lasting
+/// longer than from what was proven before the reason to stop them.
+void WorkerService::stopRuns(Incarnation Entry, const std::string &Cause,
+                             const std::function<bool(const Run &)> &Matches) {
+  TimePoint EndBy = runLimit(Entry);
   std::size_t RunCount = 0;
-  for (const SessionPointer &Session : std::vector(m_Sessions))
-    Session->stopRuns([&Entry, &RunCount](const Run &Placed) {
-      bool IsOfEntry = Placed.m_Job->m_Entry == Entry.m_Incarnation;
-      RunCount += IsOfEntry ? 1 : 0;
-      return IsOfEntry;
-    });
-  logEvent(LogLevel::Info, "runs.stopped",
-           {{"entry", toString(Entry.m_Incarnation)},
-            {"cause", "entry_lost"},
-            {"runs", RunCount}});
+  for (const SessionPointer &Session : std::vector(m_Sessions)) {
+    RunCount += Session->limitRuns(Matches, EndBy);
+    Session->stopRuns(Matches);
+  }
+  TimePoint Now = m_Timers.now();
+  const ILinks &Links = m_Dependencies.m_Links;
+  logEvent(
+      LogLevel::Info, "runs.stopped",
+      {{"entry", toString(Entry)},
+       {"cause", Cause},
+       {"runs", RunCount},
+       {"proven_age_ms", toMilliseconds(Now - Links.provenAliveAt(Entry))},
+       {"callers_age_ms", toMilliseconds(Now - Links.callersAliveAt(Entry))},
+       {"end_within_ms", toMilliseconds(EndBy - Now)}});
+}
+
+TimePoint WorkerService::runLimit(Incarnation Entry) const {
+  return m_Dependencies.m_Links.callersAliveAt(Entry) +
+         m_Settings.m_CallerTimeout;
 }
 
 void WorkerService::receive(Incarnation Entry, Message &Body) {
@@ -229,17 +249,8 @@
 }
 
 void WorkerService::stopJob(JobId Job) {
-  std::size_t RunCount = 0;
-  for (const SessionPointer &Session : std::vector(m_Sessions))
-    Session->stopRuns([Job, &RunCount](const Run &Placed) {
-      bool IsOfJob = Placed.m_Job->m_Job == Job;
-      RunCount += IsOfJob ? 1 : 0;
-      return IsOfJob;
-    });
-  logEvent(LogLevel::Info, "runs.stopped",
-           {{"entry", toString(Job.m_Entry)},
-            {"cause", "job_stopped"},
-            {"runs", RunCount}});
+  stopRuns(Job.m_Entry, "job_stopped",
+           [Job](const Run &Placed) { return Placed.m_Job->m_Job == Job; });
 }
 
 void WorkerService::recordResult(const Run &Ended) {
--- a/packages/worker/internal/workerservice.h
+++ b/packages/worker/internal/workerservice.h
@@ -46,6 +46,9 @@
   void refuseTasks(Incarnation Entry, const PlaceTasks &Body,
                    const std::vector<PlacedTask> &Tasks);
   void stopJob(JobId Job);
+  void stopRuns(Incarnation Entry, const std::string &Cause,
+                const std::function<bool(const Run &)> &Matches);
+  TimePoint runLimit(Incarnation Entry) const;
   void recordResult(const Run &Ended);
   void recordChange();
   void reportDeadlineMiss(const Run &Late);
--- a/packages/worker/tests/mocks/backendcontrolfake.h
+++ b/packages/worker/tests/mocks/backendcontrolfake.h
@@ -28,6 +28,8 @@
 
   void stop(StopOrder Order, std::function<void(OrderReply)> Done) override {
     m_Stops.push_back(Order.m_Run);
+    if (m_IgnoresStops)
+      return Done({OrderOutcome::Unanswered, {}});
     if (m_Running.erase(Order.m_Run) > 0)
       m_Ended.push_back({++m_LastEndNumber, Order.m_Run, RunOutcome::Stopped});
     Done({OrderOutcome::Done, m_Clock});
@@ -45,6 +47,7 @@
     if (Order.m_Target.m_FencingToken < m_Token)
       return OrderOutcome::Fenced;
     m_Token = Order.m_Target.m_FencingToken;
+    m_LeaseUntil = std::max(m_LeaseUntil, Order.m_LeaseUntil);
     m_Running[Order.m_Run] = 0;
     return OrderOutcome::Done;
   }
@@ -85,6 +88,8 @@
   /// Whether start orders get no reply and take effect only when the test
   /// passes them from m_DelayedStarts to executeStart().
   bool m_DelaysStarts = false;
+  /// Whether stop orders are lost.
+  bool m_IgnoresStops = false;
   /// Whether start orders are refused because a run of the task has ended.
   bool m_RefusesAsStale = false;
   std::uint64_t m_Token = 0;
--- a/packages/worker/types/backend.h
+++ b/packages/worker/types/backend.h
@@ -122,7 +122,12 @@
 /// Timeouts and periods for the control of a backend server.
 struct WorkerSettings {
   /// How long runs continue without a renewal by this agent.
-  Duration m_Lease = milliseconds(1000);
+  Duration m_Lease = milliseconds(700);
+  /// Runs end at the latest this long after their entry and its callers were
+  /// last proven alive. Together with the drift of the server's clock and the
+  /// duration of a stop, it is shorter than the time after which callers send a
+  /// job again.
+  Duration m_CallerTimeout = milliseconds(1150);
   /// How long the server delays its reply to a hold while no run ends.
   Duration m_HoldTimeout = milliseconds(300);
   /// The same while runs are in progress: if a reply is lost, ends of runs are
