A job's name is held until its earlier runs are proven to have ended

A job that was sent again to the same entry was placed beside its earlier runs: the entry refused it (502, 3006) only for one second after it had ordered the stops, whether the runs had ended or not. A stop without an answer, or an agent that froze, leaves runs for longer.

Each run that is placed when its job ends is now kept (StoppingRuns, chart stoppingrun) until its result arrives or, if its agent is lost, until all leases that the agent can have granted have lapsed: 1.25 s, from WorkerSettings:: m_CallerTimeout with clock drift and the duration of a stop, less than the 1.3 s after which callers send again.

--- a/packages/batch/ibatchservice.h
+++ b/packages/batch/ibatchservice.h
@@ -16,6 +16,10 @@
   virtual void agentDown(const Peer &Agent) = 0;
   virtual void receive(Incarnation Agent, Message &Body) = 0;
 
+  /// Whether runs of an ended job with that name may still be in progress, so
+  /// that a job of that name must not be placed.
+  virtual bool isStopping(const std::string &Name) const = 0;
+
   /// Whether any worker accepts tasks.
   virtual bool hasWorkers() const = 0;
 
--- a/packages/batch/internal/batchservice.cpp
+++ b/packages/batch/internal/batchservice.cpp
@@ -51,7 +51,8 @@
       m_Metrics(Dependencies.m_Metrics),
       m_TaskChart(bindTask(Dependencies.m_Charts)),
       m_JobChart(bindJob(Dependencies.m_Charts)), m_Workers(Entry, m_Timers),
-      m_SlackControl(m_Hooks.m_SlackControl()) {}
+      m_SlackControl(m_Hooks.m_SlackControl()),
+      m_StoppingRuns(m_Settings.m_LapseTime, Dependencies.m_Charts, m_Timers) {}
 
 BatchService::~BatchService() {
   for (auto &Item : m_Jobs)
@@ -113,7 +114,7 @@
   BatchJob &Job = addJob(std::move(Spec));
   JobId Id = Job.m_Id;
   Job.m_Callbacks.push_back(std::move(Callback));
-  if (m_StoppingJobs.count(Job.m_Spec.m_Name) > 0) {
+  if (isStopping(Job.m_Spec.m_Name)) {
     failJob(Job, ResultCode::EarlierRunsStopping);
     return Id;
   }
@@ -362,6 +363,7 @@
 void BatchService::agentDown(const Peer &Agent) {
   Incarnation LostAgent = Agent.m_Incarnation;
   m_Workers.remove(LostAgent);
+  m_StoppingRuns.agentLost(LostAgent);
   std::vector<JobId> Ids;
   for (const auto &Item : m_Jobs)
     Ids.push_back(Item.first);
@@ -419,6 +421,8 @@
 }
 
 void BatchService::receiveResult(Incarnation Agent, const RunResult &Result) {
+  if (m_StoppingRuns.receiveResult(Agent, Result))
+    return;
   BatchJob *Job = find(Result.m_Job);
   bool HasTask = Job && Result.m_Index < Job->m_Tasks.size();
   if (!HasTask) {
@@ -499,21 +503,20 @@
 /// ended, a job of the same name must not be placed.
 void BatchService::stopPlacedTasks(BatchJob &Job) {
   std::set<Incarnation> Agents;
-  for (const BatchTask &Task : Job.m_Tasks)
-    if (Task.m_State == BatchTaskState::Placed)
-      Agents.insert(Task.m_Agent);
+  for (const BatchTask &Task : Job.m_Tasks) {
+    bool MayBeInProgress = Task.m_State == BatchTaskState::Placed ||
+                           Task.m_State == BatchTaskState::Unknown;
+    if (!MayBeInProgress)
+      continue;
+    Agents.insert(Task.m_Agent);
+    m_StoppingRuns.add(Task, !m_Workers.contains(Task.m_Agent));
+  }
   for (Incarnation Agent : Agents)
     m_Links.send(Agent, StopJob{Job.m_Id});
-  if (Agents.empty())
-    return;
-  auto It = m_StoppingJobs.insert(Job.m_Spec.m_Name);
-  logEvent(LogLevel::Info, "job.name_held",
-           {{"job", Job.m_Spec.m_Name}, {"agents", Agents.size()}});
-  m_Timers.subscribe(m_Settings.m_StopTimeout, [this, It] {
-    logEvent(LogLevel::Info, "job.name_released",
-             {{"job", *It}, {"proof", "time_only"}});
-    m_StoppingJobs.erase(It);
-  });
+}
+
+bool BatchService::isStopping(const std::string &Name) const {
+  return m_StoppingRuns.hasRunsOf(Name);
 }
 
 void BatchService::answerCallers(BatchJob &Job) {
--- a/packages/batch/internal/batchservice.h
+++ b/packages/batch/internal/batchservice.h
@@ -3,9 +3,9 @@
 
 #include "batch/batchmodule.h"
 #include "batch/internal/batchjob.h"
+#include "batch/internal/stoppingruns.h"
 #include "batch/internal/workertable.h"
 
-#include <set>
 #include <unordered_map>
 
 namespace cyclamenwalk {
@@ -18,6 +18,7 @@
 
   JobId submit(BatchSpec Spec, BatchCallback Callback) override;
   void removeCaller(JobId Id) override;
+  bool isStopping(const std::string &Name) const override;
   bool cancel(const std::string &Name) override;
   bool isRunning(const std::string &Name) const override;
   std::size_t waiting(const std::string &Route) const override;
@@ -72,8 +73,7 @@
   std::unordered_map<JobId, std::unique_ptr<BatchJob>> m_Jobs;
   /// Jobs that have not been answered.
   std::unordered_map<std::string, JobId> m_JobsByName;
-  /// Names of jobs whose runs are being stopped.
-  std::multiset<std::string> m_StoppingJobs;
+  StoppingRuns m_StoppingRuns;
   std::uint64_t m_LastJob = 0;
   /// The number of agents when all were last told the report interval.
   std::size_t m_AnnouncedAgentCount = 0;
--- a/packages/batch/internal/workertable.h
+++ b/packages/batch/internal/workertable.h
@@ -23,6 +23,7 @@
   void add(const Peer &Agent);
   void remove(Incarnation Agent);
   std::size_t size() const { return m_Workers.size(); }
+  bool contains(Incarnation Agent) const { return m_Workers.count(Agent) > 0; }
   std::vector<Incarnation> agents() const;
   void updateReport(Incarnation Agent, WorkerReport Report);
 
--- a/packages/batch/tests/batchservice_test.cpp
+++ b/packages/batch/tests/batchservice_test.cpp
@@ -13,6 +13,11 @@
 constexpr Resources Capacity{64000, 262144, 0};
 constexpr Resources TaskResources{8000, 64, 0};
 constexpr Incarnation Entry{1};
+/// A lost agent renews the lease of its runs up to 1150 ms from when this entry
+/// was alive; the server's clock may be slow and a stop takes 50 ms.
+constexpr Duration LeaseAfterLoss = milliseconds(1229);
+/// Callers send a job again after this time.
+constexpr Duration ResendTime = milliseconds(1300);
 
 /// A batch service whose agents are simulated by the test.
 class BatchServiceTest : public testing::Test {
@@ -85,6 +90,16 @@
     receive(Agent, std::move(Body));
   }
 
+  /// Submits a job that must be answered at once and not be placed.
+  void expectHeld(BatchSpec Spec) {
+    m_Links.m_Sent.clear();
+    m_Answers.clear();
+    submit(std::move(Spec));
+    EXPECT_TRUE(placements().empty());
+    ASSERT_EQ(m_Answers.size(), 1u);
+    EXPECT_EQ(m_Answers[0].m_Code, ResultCode::EarlierRunsStopping);
+  }
+
   ChartFolder m_Charts;
   LinksFake m_Links;
   ManualTimerService m_Timers;
@@ -223,19 +238,71 @@
   EXPECT_EQ(Sent.back().second.m_Period, milliseconds(1));
 }
 
-// A caller whose connection broke sends its job again immediately, while the
-// runs of the first submission are still being stopped.
-TEST_F(BatchServiceTest, AJobIsNotPlacedAgainWhileItsEarlierRunsAreStopped) {
+// A caller whose connection broke sends its job again, while the runs of the
+// first submission are still being stopped, however long that takes.
+TEST_F(BatchServiceTest, AJobIsNotPlacedAgainBeforeItsEarlierRunsHaveEnded) {
   addWorker(11, report());
   JobId Job = submit(spec(2));
   m_Jobs->removeCaller(Job);
   placements();
+  expectHeld(spec(2));
+  reportResult(11, Job, 0, 1, RunOutcome::Stopped);
+  m_Timers.advance(seconds(5));
+  expectHeld(spec(2));
+  reportResult(11, Job, 1, 1, RunOutcome::NotStarted);
   submit(spec(2));
-  EXPECT_TRUE(placements().empty());
-  ASSERT_EQ(m_Answers.size(), 2u);
-  EXPECT_EQ(m_Answers[1].m_Code, ResultCode::EarlierRunsStopping);
-  m_Timers.advance(BatchSettings{}.m_StopTimeout);
+  EXPECT_EQ(placements().size(), 1u);
+}
+
+TEST_F(BatchServiceTest,
+       AJobIsNotPlacedAgainBeforeLeasesAtALostAgentHaveEnded) {
+  addWorker(11, report(8000));
+  addWorker(12, report(8000));
+  JobId Job = submit(spec(2));
+  ASSERT_EQ(placements().size(), 2u);
+  m_Jobs->agentDown(agent(11));
+  // Only one of them was placed there.
+  for (std::uint32_t Index = 0; Index < 2; ++Index)
+    reportResult(12, Job, Index, 1, RunOutcome::Stopped);
+  addWorker(13, report());
+  m_Timers.advance(LeaseAfterLoss);
+  expectHeld(spec(2));
+  m_Timers.advance(BatchSettings{}.m_LapseTime - LeaseAfterLoss);
   submit(spec(2));
+  EXPECT_FALSE(placements().empty());
+  EXPECT_LT(BatchSettings{}.m_LapseTime, ResendTime);
+}
+
+// The agent is lost while it stops the runs.
+TEST_F(BatchServiceTest, AJobIsNotPlacedAgainBecauseItsStoppingAgentIsLost) {
+  addWorker(11, report());
+  JobId Job = submit(spec(1));
+  m_Jobs->removeCaller(Job);
+  placements();
+  m_Timers.advance(seconds(3));
+  m_Jobs->agentDown(agent(11));
+  addWorker(12, report());
+  m_Timers.advance(LeaseAfterLoss);
+  expectHeld(spec(1));
+  m_Timers.advance(seconds(1));
+  submit(spec(1));
+  EXPECT_EQ(placements().size(), 1u);
+}
+
+// Jobs end with runs in progress for other reasons than their caller's.
+TEST_F(BatchServiceTest, AJobThatFailedIsNotPlacedAgainBeforeItsRunsHaveEnded) {
+  addWorker(11, report());
+  BatchSpec Spec = spec(2);
+  Spec.m_MaxAttempts = 1;
+  JobId Job = submit(Spec);
+  placements();
+  reportResult(11, Job, 0, 1, RunOutcome::Failed);
+  ASSERT_EQ(m_Answers.size(), 1u);
+  EXPECT_EQ(m_Answers[0].m_Code, ResultCode::TaskFailed);
+  m_Timers.advance(seconds(2));
+  expectHeld(Spec);
+  reportResult(11, Job, 1, 1, RunOutcome::Stopped);
+  submit(Spec);
   EXPECT_EQ(placements().size(), 1u);
 }
 
--- a/packages/batch/tests/mocks/batchservicefake.h
+++ b/packages/batch/tests/mocks/batchservicefake.h
@@ -3,6 +3,7 @@
 
 #include "batch/ibatchservice.h"
 
+#include <set>
 #include <vector>
 
 namespace cyclamenwalk {
@@ -20,6 +21,9 @@
   bool isRunning(const std::string &) const override { return false; }
   std::size_t waiting(const std::string &) const override { return 0; }
   std::size_t running() const override { return 0; }
+  bool isStopping(const std::string &Name) const override {
+    return m_Stopping.count(Name) > 0;
+  }
   void agentUp(const Peer &) override {}
   void agentDown(const Peer &) override {}
   void receive(Incarnation, Message &) override {}
@@ -35,6 +39,7 @@
   std::vector<BatchSpec> m_Submitted;
   std::vector<BatchCallback> m_Callbacks;
   std::vector<JobId> m_Removed;
+  std::set<std::string> m_Stopping;
 };
 
 } // namespace cyclamenwalk
--- a/packages/batch/tests/mocks/batchservicemock.h
+++ b/packages/batch/tests/mocks/batchservicemock.h
@@ -17,6 +17,7 @@
   MOCK_METHOD(void, agentUp, (const Peer &), (override));
   MOCK_METHOD(void, agentDown, (const Peer &), (override));
   MOCK_METHOD(void, receive, (Incarnation, Message &), (override));
+  MOCK_METHOD(bool, isStopping, (const std::string &), (const, override));
   MOCK_METHOD(bool, hasWorkers, (), (const, override));
   MOCK_METHOD(std::vector<ServiceRoom>, rooms, (), (const, override));
   MOCK_METHOD(std::size_t, running, (), (const, override));
--- a/packages/batch/types/batchanswer.h
+++ b/packages/batch/types/batchanswer.h
@@ -33,9 +33,11 @@
   /// Limit on the agents' periodic reports, from the processor time that this
   /// entry has for them. Reports that come with run results are not counted.
   double m_MaxReportsPerSecond = 2000;
-  /// Time after which runs that were asked to stop have ended. Must be shorter
-  /// than the time after which callers send a job again.
-  Duration m_StopTimeout = milliseconds(1000);
+  /// Runs at an agent have ended this long after the link to it was lost: the
+  /// agent limits their lease by when it had proof that this entry was alive
+  /// (WorkerSettings::m_CallerTimeout), and the server's clock may be slow.
+  /// Must be shorter than the time after which callers send a job again.
+  Duration m_LapseTime = milliseconds(1250);
   /// Factor on the run time on workers outside the rack of the data.
   double m_RemotePenalty = 1;
 };
