Runs of a forwarded job end before the callers of its lost forwarder send again

A forwarded job has a chain of three: the entry of its caller, the entry that places it, and the agent. When the first is killed and the second or the agent freezes before it has noticed, the runs outlived the 1.3 s after which callers send again: the placer gave its forwarder up after 0.8 s of silence, and the agent renewed the lease for a second after the last order.

A forwarder counts until the orders to stop its jobs are sent, so that these carry the same limit. Entries ask only those entries for proof whose jobs they own; idle links between entries cost what they did. A server without runs gets no renewals, so that the first run of an entry with an older proof starts at once.

--- a/packages/batch/tests/mocks/batchservicefake.h
+++ b/packages/batch/tests/mocks/batchservicefake.h
@@ -3,6 +3,7 @@
 
 #include "batch/ibatchservice.h"
 
+#include <functional>
 #include <set>
 #include <vector>
 
@@ -16,7 +17,11 @@
     m_Callbacks.push_back(std::move(Callback));
     return {{}, m_Submitted.size()};
   }
-  void removeCaller(JobId Id) override { m_Removed.push_back(Id); }
+  void removeCaller(JobId Id) override {
+    m_Removed.push_back(Id);
+    if (m_OnRemove)
+      m_OnRemove();
+  }
   bool cancel(const std::string &) override { return false; }
   bool isRunning(const std::string &) const override { return false; }
   std::size_t waiting(const std::string &) const override { return 0; }
@@ -40,6 +45,8 @@
   std::vector<BatchCallback> m_Callbacks;
   std::vector<JobId> m_Removed;
   std::set<std::string> m_Stopping;
+  /// Called when a caller is removed.
+  std::function<void()> m_OnRemove;
 };
 
 } // namespace cyclamenwalk
--- a/packages/forward/internal/forwardingservice.cpp
+++ b/packages/forward/internal/forwardingservice.cpp
@@ -256,6 +256,14 @@
   sendStateIfChanged();
 }
 
+bool ForwardingService::ownsJobsOf(Incarnation Entry) const {
+  return m_OwnedJobs.hasJobsOf(Entry);
+}
+
+TimePoint ForwardingService::forwardersAliveAt() const {
+  return m_OwnedJobs.forwardersAliveAt();
+}
+
 bool ForwardingService::hasPlacers() const {
   return m_Dependencies.m_Jobs.hasWorkers() || m_Placers.hasAccepting();
 }
--- a/packages/forward/internal/forwardingservice.h
+++ b/packages/forward/internal/forwardingservice.h
@@ -27,6 +27,8 @@
   void entryDown(const Peer &Entry) override;
   bool receive(Incarnation Entry, Message &Body) override;
   void drain() override;
+  bool ownsJobsOf(Incarnation Entry) const override;
+  TimePoint forwardersAliveAt() const override;
   bool hasPlacers() const override;
 
 private:
--- a/packages/forward/internal/ownedjobs.cpp
+++ b/packages/forward/internal/ownedjobs.cpp
@@ -2,6 +2,9 @@
 
 #include "core/log.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace cyclamenwalk {
 
 namespace {
@@ -41,6 +44,7 @@
     return fire(Job, OwnedJobEvent::Ended);
   }
   m_Jobs[{Forwarder, Body.m_Request}] = Job;
+  countRunning(*Job);
   // The callback may come before submit() returns.
   Job->m_Job = m_Dependencies.m_Jobs.submit(
       std::move(Body.m_Spec), [this, Job](const BatchAnswer &Answer) {
@@ -61,18 +65,48 @@
     if (Item.first.first == Forwarder)
       Abandoned.push_back(Item.second);
   if (!Abandoned.empty())
-    logEvent(LogLevel::Warning, "jobs.abandoned",
-             {{"forwarder", toString(Forwarder)}, {"jobs", Abandoned.size()}});
+    logEvent(
+        LogLevel::Warning, "jobs.abandoned",
+        {{"forwarder", toString(Forwarder)},
+         {"jobs", Abandoned.size()},
+         {"proven_age_ms",
+          toMilliseconds(m_Dependencies.m_Timers.now() -
+                         m_Dependencies.m_Links.provenAliveAt(Forwarder))}});
   for (const JobPointer &Job : Abandoned)
     fire(Job, OwnedJobEvent::ForwarderLost);
 }
 
 void OwnedJobs::fire(const JobPointer &Job, OwnedJobEvent Event) {
   m_Chart.fire(*Job, Event);
+  // Counted until here: orders to stop that the actions send to agents go with
+  // the last proof that the forwarder was alive.
+  if (Job->m_State != OwnedJobState::Running)
+    uncountRunning(*Job);
   if (Job->m_State == OwnedJobState::Ended)
     m_Jobs.erase({Job->m_Forwarder, Job->m_Request});
 }
 
+void OwnedJobs::countRunning(OwnedJob &Job) {
+  Job.m_IsCounted = true;
+  ++m_RunningJobs[Job.m_Forwarder];
+}
+
+void OwnedJobs::uncountRunning(OwnedJob &Job) {
+  if (!std::exchange(Job.m_IsCounted, false))
+    return;
+  auto It = m_RunningJobs.find(Job.m_Forwarder);
+  if (--It->second == 0)
+    m_RunningJobs.erase(It);
+}
+
+TimePoint OwnedJobs::forwardersAliveAt() const {
+  TimePoint AliveAt = TimePoint::max();
+  for (const auto &Item : m_RunningJobs)
+    AliveAt =
+        std::min(AliveAt, m_Dependencies.m_Links.provenAliveAt(Item.first));
+  return AliveAt;
+}
+
 bool OwnedJobs::hasRecentAnswers() const {
   return m_Dependencies.m_Timers.now() - m_LastAnswerAt < AnswerFlushTime;
 }
--- a/packages/forward/internal/ownedjobs.h
+++ b/packages/forward/internal/ownedjobs.h
@@ -33,6 +33,15 @@
   /// Cancels the jobs of an entry that can't receive their answers.
   void forwarderDown(Incarnation Forwarder);
 
+  /// Whether a job of the entry has not ended and its forwarder is not lost.
+  bool hasJobsOf(Incarnation Forwarder) const {
+    return m_RunningJobs.count(Forwarder) > 0;
+  }
+
+  /// When the forwarders of all these jobs were proven alive; TimePoint::max()
+  /// for none.
+  TimePoint forwardersAliveAt() const;
+
   /// Refuses new jobs from now on.
   void drain() { m_IsDraining = true; }
 
@@ -45,6 +54,8 @@
     Incarnation m_Forwarder;
     std::uint64_t m_Request = 0;
     JobId m_Job;
+    /// Whether it is counted in m_RunningJobs.
+    bool m_IsCounted = false;
     BatchAnswer m_Answer;
   };
   using Key = std::pair<Incarnation, std::uint64_t>;
@@ -54,11 +65,15 @@
   Chart bindChart(const IChartSource &Charts);
   void sendAnswer(const OwnedJob &Job);
   void fire(const JobPointer &Job, OwnedJobEvent Event);
+  void countRunning(OwnedJob &Job);
+  void uncountRunning(OwnedJob &Job);
 
   const ForwardDependencies m_Dependencies;
   const std::function<PlacerState()> m_CurrentState;
   const Chart m_Chart;
   std::map<Key, JobPointer> m_Jobs;
+  /// The number of jobs of each forwarder in state Running.
+  std::map<Incarnation, std::size_t> m_RunningJobs;
   bool m_IsDraining = false;
   TimePoint m_LastAnswerAt;
 };
--- a/packages/forward/tests/forwardingservice_test.cpp
+++ b/packages/forward/tests/forwardingservice_test.cpp
@@ -221,6 +221,43 @@
   EXPECT_TRUE(m_Links.sent<ForwardedJobAnswer>().empty());
 }
 
+/// The agents that run the jobs are told how long their forwarders have been
+/// silent, and when none has open jobs any more.
+TEST_F(ForwardingServiceTest, StatesWhenTheForwardersOfItsJobsWereAlive) {
+  m_Forwarding->entryUp(entry(FirstPlacer));
+  m_Forwarding->entryUp(entry(SecondPlacer));
+  m_Links.m_ProvenAliveAt[FirstPlacer] = TimePoint(seconds(5));
+  m_Links.m_ProvenAliveAt[SecondPlacer] = TimePoint(seconds(4));
+  EXPECT_EQ(m_Forwarding->forwardersAliveAt(), TimePoint::max());
+  receive(FirstPlacer, ForwardJob{7, spec("b1")});
+  EXPECT_EQ(m_Forwarding->forwardersAliveAt(), TimePoint(seconds(5)));
+  EXPECT_TRUE(m_Forwarding->ownsJobsOf(FirstPlacer));
+  EXPECT_FALSE(m_Forwarding->ownsJobsOf(SecondPlacer));
+  receive(SecondPlacer, ForwardJob{7, spec("b2")});
+  EXPECT_EQ(m_Forwarding->forwardersAliveAt(), TimePoint(seconds(4)));
+  m_Jobs.answer(1, ResultCode::Ok);
+  EXPECT_EQ(m_Forwarding->forwardersAliveAt(), TimePoint(seconds(5)));
+  m_Jobs.answer(0, ResultCode::Ok);
+  EXPECT_EQ(m_Forwarding->forwardersAliveAt(), TimePoint::max());
+}
+
+/// The order to stop must not go with a later proof than that of the lost
+/// forwarder.
+TEST_F(ForwardingServiceTest, ALostForwarderCountsUntilItsJobsAreStopped) {
+  m_Forwarding->entryUp(entry(FirstPlacer));
+  m_Links.m_ProvenAliveAt[FirstPlacer] = TimePoint(seconds(5));
+  receive(FirstPlacer, ForwardJob{7, spec("b1")});
+  receive(FirstPlacer, ForwardJob{8, spec("b2")});
+  std::vector<TimePoint> StatedAtRemoval;
+  m_Jobs.m_OnRemove = [&] {
+    StatedAtRemoval.push_back(m_Forwarding->forwardersAliveAt());
+  };
+  m_Forwarding->entryDown(entry(FirstPlacer));
+  EXPECT_EQ(StatedAtRemoval, std::vector(2, TimePoint(seconds(5))));
+  EXPECT_EQ(m_Forwarding->forwardersAliveAt(), TimePoint::max())
+      << "the runs that are still being stopped have their own limit";
+}
+
 TEST_F(ForwardingServiceTest, RefusesNewJobsOfOthersWhileDraining) {
   m_Forwarding->entryUp(entry(FirstPlacer));
   m_Forwarding->drain();
--- a/packages/membership/ilinks.h
+++ b/packages/membership/ilinks.h
@@ -23,6 +23,9 @@
     /// When all processes on whose behalf this one acts were proven alive,
     /// which agents are told; TimePoint::max() for none. May be left empty.
     std::function<TimePoint()> m_CallersAliveAt;
+    /// Whether this process acts on behalf of an entry, so that it needs proof
+    /// that the entry is alive. Left empty, it acts for all entries.
+    std::function<bool(Incarnation)> m_ActsFor;
   };
 
   virtual ~ILinks() = default;
--- a/packages/membership/internal/links.cpp
+++ b/packages/membership/internal/links.cpp
@@ -439,9 +439,14 @@
          Link.m_Unacknowledged.size() > m_Settings.m_MaxUnacknowledged;
 }
 
+bool Links::needsProof(const LinkEndpoint &Link) const {
+  return Link.m_Peer.m_Role == Role::Entry &&
+         (!m_Hooks.m_ActsFor || m_Hooks.m_ActsFor(Link.m_Peer.m_Incarnation));
+}
+
 bool Links::isUnproven(const LinkEndpoint &Link) const {
   TimePoint AliveAt = std::max(Link.m_ProvenAliveAt, Link.m_OpenedAt);
-  return Link.m_Peer.m_Role == Role::Entry &&
+  return needsProof(Link) &&
          m_Timers.now() - AliveAt >= m_Settings.m_ProofTimeout;
 }
 
@@ -472,7 +477,7 @@
 /// What an entry passes on about its callers is older than its own proof, by
 /// about as much as that may be old.
 bool Links::isProofDue(const LinkEndpoint &Link) const {
-  if (Link.m_Peer.m_Role != Role::Entry)
+  if (!needsProof(Link))
     return false;
   Duration MaxCallersAge =
       2 * m_Settings.m_MaxProofAge + m_Settings.m_CheckPeriod;
--- a/packages/membership/internal/links.h
+++ b/packages/membership/internal/links.h
@@ -66,7 +66,8 @@
 
   /// Whether the lease has expired or too many messages are unacknowledged.
   bool hasExpired(const LinkEndpoint &Link) const;
-  /// Whether the peer is an entry that is no longer proven alive.
+  bool needsProof(const LinkEndpoint &Link) const;
+  /// Whether the peer is no longer proven alive but needs to be.
   bool isUnproven(const LinkEndpoint &Link) const;
   bool isStalled(const LinkEndpoint &Link) const;
   bool isReconnectDue(const LinkEndpoint &Link) const;
--- a/packages/membership/tests/links_test.cpp
+++ b/packages/membership/tests/links_test.cpp
@@ -214,6 +214,18 @@
   EXPECT_LE(Pair.m_Entry.m_Metrics.of(Metric::HeartbeatsSent), 50u);
 }
 
+/// There are thousands of idle links between entries.
+TEST(Links, entryForWhichNothingIsDoneIsNotAskedForProof) {
+  LinkPair Pair(shortPeriods());
+  Pair.m_Agent.m_ActsForEntries = false;
+  Pair.connect();
+  Pair.advance(seconds(9));
+  EXPECT_EQ(Pair.m_Agent.m_DownCount, 0);
+  // One in 300 ms.
+  EXPECT_LE(Pair.m_Agent.m_Metrics.of(Metric::HeartbeatsSent), 30u);
+  EXPECT_LE(Pair.m_Entry.m_Metrics.of(Metric::HeartbeatsSent), 30u);
+}
+
 /// An order to stop is lost with its connection, and heartbeats follow it.
 TEST(Links, nothingIsProvenWhileAnEarlierMessageIsMissing) {
   LinkPair Pair(shortPeriods());
--- a/packages/membership/tests/mocks/linkpair.h
+++ b/packages/membership/tests/mocks/linkpair.h
@@ -79,7 +79,8 @@
                       },
                       [this](const Peer &) { ++m_DownCount; },
                       [this](const std::string &) { ++m_UnreachableCount; },
-                      [this] { return m_CallersAliveAt; }});
+                      [this] { return m_CallersAliveAt; },
+                      [this](Incarnation) { return m_ActsForEntries; }});
   }
 
   ChartFolder m_Charts{CW_CHART_DIR};
@@ -91,6 +92,7 @@
   std::vector<std::uint32_t> m_Received;
   /// ILinks::provenAliveAt() of the sender as each message was received.
   std::vector<TimePoint> m_ProvenAtReceipt;
+  bool m_ActsForEntries = true;
   /// What the links pass on to agents.
   TimePoint m_CallersAliveAt = TimePoint::max();
   int m_UpCount = 0;
--- a/packages/membership/types/peer.h
+++ b/packages/membership/types/peer.h
@@ -43,9 +43,11 @@
   Duration m_HelloRetryPeriod = milliseconds(500);
   /// The link is closed when nothing was received for this time.
   Duration m_Lease = seconds(6);
-  /// An entry is asked for an echo when it was last proven alive longer ago.
+  /// An entry on whose behalf this process acts is asked for an echo when it
+  /// was last proven alive longer ago.
   Duration m_MaxProofAge = seconds(3);
-  /// The link to an entry is closed when it was last proven alive longer ago.
+  /// The link to such an entry is closed when it was last proven alive longer
+  /// ago.
   Duration m_ProofTimeout = seconds(6);
   /// The link is closed when more messages than this await acknowledgement.
   std::size_t m_MaxUnacknowledged = 65536;
--- a/packages/worker/internal/serverlink.cpp
+++ b/packages/worker/internal/serverlink.cpp
@@ -75,7 +75,9 @@
   Order.m_LastEndNumber = m_LastEndNumber;
   bool IsResponsive =
       m_Timers.now() - m_LastReplyAt < m_Settings.m_RenewalTimeout;
-  bool RenewsLease = Purpose != HoldPurpose::List && IsResponsive;
+  // Without runs it is not extended, so that it outlasts no later run's limit.
+  bool RenewsLease =
+      Purpose != HoldPurpose::List && IsResponsive && m_Hooks.m_HasRuns();
   if (RenewsLease)
     Order.m_LeaseUntil = extendLease();
   if (Purpose == HoldPurpose::Renew)
@@ -162,7 +164,7 @@
 bool ServerLink::hasLapsed() const {
   TimePoint Now = m_Timers.now();
   return Now - m_LeaseEndsAt > m_Settings.m_LeaseMargin &&
-         Now - m_LastReplyAt >= m_Settings.m_RenewalTimeout;
+         Now - m_LastReplyAt > m_Settings.m_Lease + m_Settings.m_LeaseMargin;
 }
 
 } // namespace cyclamenwalk
--- a/packages/worker/tests/lease_test.cpp
+++ b/packages/worker/tests/lease_test.cpp
@@ -42,12 +42,14 @@
     m_Control.answerHolds();
   }
 
-  /// Lets time pass, with a reply to the holds each 20 ms.
+  /// Lets time pass, with progress and a reply to the holds each 20 ms.
   void play(Duration Span) {
     constexpr Duration Step = milliseconds(20);
     for (Duration Left = Span; Left > Duration::zero(); Left -= Step) {
       m_Timers.advance(Step);
       m_Control.m_Clock += Step;
+      for (auto &Progress : m_Control.m_Running)
+        ++Progress.second;
       m_Control.answerHolds();
     }
   }
@@ -175,6 +177,14 @@
   EXPECT_EQ(m_Control.m_Running.count({"job1.0", 1}), 1u);
 }
 
+/// The first job after a pause comes from an entry whose proof is old.
+TEST_F(LeaseTest, RunStartsAtOnceAtAnIdleServer) {
+  play(seconds(1));
+  setProof(Entry, m_Timers.now() - milliseconds(600));
+  place(Entry, 1);
+  EXPECT_EQ(m_Control.m_Running.count({"job1.0", 1}), 1u);
+}
+
 /// The latest lease was sent before a shorter one.
 TEST_F(LeaseTest, SilentServerIsGivenUpWhenItsLatestLeaseHasLapsed) {
   place(OtherEntry, 2);
--- a/packages/worker/types/backend.h
+++ b/packages/worker/types/backend.h
@@ -122,7 +122,7 @@
 /// Timeouts and periods for the control of a backend server.
 struct WorkerSettings {
   /// How long runs continue without a renewal by this agent.
-  Duration m_Lease = milliseconds(700);
+  Duration m_Lease = milliseconds(650);
   /// Runs end at the latest this long after their entry and its callers were
   /// last proven alive. Together with the drift of the server's clock and the
   /// duration of a stop, it is shorter than the time after which callers send a
