A job whose earlier runs this entry is stopping is not forwarded

An entry that was stopping the runs of a job offered the same job, when its caller sent it again, to another entry, which knew nothing of those runs and placed it beside them.

Failing before: ForwardingServiceTest.DoesNotForwardAJobWhoseEarlierRunsAreStopped Value of: offers().empty() Actual: false Expected: true

--- a/packages/forward/internal/forwardingservice.cpp
+++ b/packages/forward/internal/forwardingservice.cpp
@@ -64,8 +64,10 @@
     find(It->second)->m_Callbacks.push_back(std::move(Callback));
     return {m_Self, It->second | RequestIdBit};
   }
+  // Another owner would not know of runs that this entry is stopping.
+  bool IsStopping = m_Dependencies.m_Jobs.isStopping(Spec.m_Name);
   JobPointer Job = addJob(std::move(Spec), std::move(Callback));
-  offer(Job, chooseOwner(*Job, false).value_or(m_Self));
+  offer(Job, IsStopping ? m_Self : chooseOwner(*Job, false).value_or(m_Self));
   return {m_Self, Job->m_Request | RequestIdBit};
 }
 
--- a/packages/forward/tests/forwardingservice_test.cpp
+++ b/packages/forward/tests/forwardingservice_test.cpp
@@ -258,6 +258,18 @@
       << "the runs that are still being stopped have their own limit";
 }
 
+/// A job that is sent again meets an entry that still stops its earlier runs.
+TEST_F(ForwardingServiceTest, DoesNotForwardAJobWhoseEarlierRunsAreStopped) {
+  addPlacer(FirstPlacer, 500'000);
+  m_Jobs.m_Stopping = {"a1"};
+  submit();
+  EXPECT_TRUE(offers().empty());
+  ASSERT_EQ(m_Jobs.m_Submitted.size(), 1u);
+  m_Jobs.answer(0, ResultCode::EarlierRunsStopping);
+  EXPECT_TRUE(offers().empty());
+  EXPECT_EQ(m_Codes, std::vector{ResultCode::EarlierRunsStopping});
+}
+
 TEST_F(ForwardingServiceTest, RefusesNewJobsOfOthersWhileDraining) {
   m_Forwarding->entryUp(entry(FirstPlacer));
   m_Forwarding->drain();
