--- a/packages/batch/tests/mocks/batchservicefake.h
+++ b/packages/batch/tests/mocks/batchservicefake.h
@@ -3,6 +3,8 @@
 
 #include "batch/ibatchservice.h"
 
+#include <functional>
+#include <set>
 #include <vector>
 
 namespace cyclamenwalk {
@@ -15,11 +17,18 @@
     m_Callbacks.push_back(std::move(Callback));
     return {{}, m_Submitted.size()};
   }
-  void removeCaller(JobId Id) override { m_Removed.push_back(Id); }
+  void removeCaller(JobId Id) override {
+    m_Removed.push_back(Id);
+    if (m_OnRemove)
+      m_OnRemove();
+  }
   bool cancel(const std::string &) override { return false; }
   bool isRunning(const std::string &) const override { return false; }
   std::size_t waiting(const std::string &) const override { return 0; }
   std::size_t running() const override { return 0; }
+  bool isStopping(const std::string &Name) const override {
+    return m_Stopping.count(Name) > 0;
+  }
   void agentUp(const Peer &) override {}
   void agentDown(const Peer &) override {}
   void receive(Incarnation, Message &) override {}
@@ -35,6 +44,9 @@
   std::vector<BatchSpec> m_Submitted;
   std::vector<BatchCallback> m_Callbacks;
   std::vector<JobId> m_Removed;
+  std::set<std::string> m_Stopping;
+  /// Called when a caller is removed.
+  std::function<void()> m_OnRemove;
 };
 
 } // namespace cyclamenwalk
--- a/packages/worker/internal/serverlink.cpp
+++ b/packages/worker/internal/serverlink.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cyclamenwalk {
@@ -12,7 +13,9 @@
     : m_Address(std::move(Address)), m_Instance(std::move(Instance)),
       m_Settings(Settings), m_Control(Dependencies.m_Control),
       m_Timers(Dependencies.m_Timers), m_Hooks(std::move(Callbacks)),
-      m_Token(Dependencies.m_MakeFencingToken()), m_LeaseSentAt(m_Timers.now()),
+      m_Token(Dependencies.m_MakeFencingToken()),
+      // An earlier agent may have renewed the lease until now.
+      m_LeaseEndsAt(m_Timers.now() + Settings.m_Lease),
       m_LastReplyAt(m_Timers.now()) {}
 
 ServerLink::~ServerLink() { m_Timers.cancel(m_Timer); }
@@ -91,8 +94,9 @@
   Order.m_LastEndNumber = m_LastEndNumber;
   bool IsResponsive = m_IsReachable && m_Timers.now() - m_LastReplyAt <
                                            m_Settings.m_RenewalTimeout;
-  bool RenewsLease =
-      m_RenewsLease && Purpose != HoldPurpose::List && IsResponsive;
+  // Without runs it is not extended, so that it outlasts no later run's limit.
+  bool RenewsLease = m_RenewsLease && Purpose != HoldPurpose::List &&
+                     IsResponsive && m_Hooks.m_HasRuns();
   if (RenewsLease)
     Order.m_LeaseUntil = extendLease();
   if (Purpose == HoldPurpose::Poll)
@@ -137,8 +141,7 @@
   recordReachability(Reply.m_Outcome, SentAt);
   if (Alive.expired())
     return;
-  Duration MaxLeaseAge = m_Settings.m_Lease + m_Settings.m_LeaseMargin;
-  if (m_Timers.now() - m_LeaseSentAt > MaxLeaseAge)
+  if (hasLapsed())
     return m_Hooks.m_EvidenceFound(LeaseLapsed{});
   if (Reply.m_Outcome == OrderOutcome::Fenced) {
     m_Token += m_TokenStep;
@@ -176,10 +179,22 @@
   m_ServerClockReadAt = m_Timers.now();
 }
 
+/// Returns the new end of the lease by the server's clock, zero if the lease
+/// must not be extended.
 Duration ServerLink::extendLease() {
-  m_LeaseSentAt = m_Timers.now();
-  return m_ServerClock + (m_Timers.now() - m_ServerClockReadAt) +
-         m_Settings.m_Lease;
+  TimePoint Now = m_Timers.now();
+  TimePoint EndsAt = std::min(Now + m_Settings.m_Lease, m_Hooks.m_LeaseLimit());
+  if (EndsAt <= Now)
+    return Duration::zero();
+  m_LeaseEndsAt = std::max(m_LeaseEndsAt, EndsAt);
+  return m_ServerClock + (EndsAt - m_ServerClockReadAt);
+}
+
+/// Whether a server that does not reply has ended all runs for want of a lease.
+bool ServerLink::hasLapsed() const {
+  TimePoint Now = m_Timers.now();
+  return Now - m_LeaseEndsAt > m_Settings.m_LeaseMargin &&
+         Now - m_LastReplyAt > m_Settings.m_Lease + m_Settings.m_LeaseMargin;
 }
 
 } // namespace cyclamenwalk
--- a/packages/worker/tests/capacityproperty_test.cpp
+++ b/packages/worker/tests/capacityproperty_test.cpp
@@ -28,6 +28,12 @@
     m_Recorded.send(To, std::move(Body));
   }
   void disconnect(Incarnation) override {}
+  TimePoint provenAliveAt(Incarnation Peer) const override {
+    return m_Recorded.provenAliveAt(Peer);
+  }
+  TimePoint callersAliveAt(Incarnation Peer) const override {
+    return m_Recorded.callersAliveAt(Peer);
+  }
   bool isFlushed() const override { return true; }
 
   std::function<void(const RunResult &)> m_ResultSent;
--- a/packages/worker/tests/mocks/backendcontrolfake.h
+++ b/packages/worker/tests/mocks/backendcontrolfake.h
@@ -34,6 +34,8 @@
     m_Stops.push_back(Order.m_Run);
     if (m_LosesStops)
       return;
+    if (m_IgnoresStops)
+      return Done({OrderOutcome::Unanswered, {}});
     if (m_Running.erase(Order.m_Run) > 0)
       m_Ended.push_back({++m_LastEndNumber, Order.m_Run, RunOutcome::Stopped});
     Done({OrderOutcome::Done, m_Clock});
@@ -52,6 +54,7 @@
     if (Order.m_Target.m_FencingToken < m_Token)
       return OrderOutcome::Fenced;
     m_Token = Order.m_Target.m_FencingToken;
+    m_LeaseUntil = std::max(m_LeaseUntil, Order.m_LeaseUntil);
     m_Running[Order.m_Run] = 0;
     return OrderOutcome::Done;
   }
@@ -102,6 +105,8 @@
   bool m_DelaysStarts = false;
   /// Whether stop orders are lost on the way.
   bool m_LosesStops = false;
+  /// Whether stop orders are lost and reported as unanswered.
+  bool m_IgnoresStops = false;
   /// Whether start orders are kept, without effect, until answerStarts().
   bool m_KeepsStarts = false;
   /// Whether start orders are refused because a run of the task has ended.
--- a/packages/worker/tests/workerevidence_test.cpp
+++ b/packages/worker/tests/workerevidence_test.cpp
@@ -39,7 +39,7 @@
   EXPECT_EQ(Results[0].m_RunOutcome, RunOutcome::NotStarted);
   place(makePlacement(1, 2));
   ASSERT_EQ(takeResults().size(), 1u) << "accepted while not reached";
-  for (int I = 0; I < 30; ++I) {
+  for (Duration Age{}; Age < WorkerSettings{}.m_Lease; Age += milliseconds(30)) {
     m_Timers.advance(milliseconds(30));
     m_Control.answerHolds(OrderOutcome::NotSent);
   }
