--- a/packages/membership/ilinks.h
+++ b/packages/membership/ilinks.h
@@ -22,10 +22,10 @@
     std::function<void(const std::string &Address)> m_OnUnreachable;
     /// When all processes on whose behalf this one acts were proven alive,
     /// which agents are told; TimePoint::max() for none. May be left empty.
-    std::function<TimePoint()> m_CallersAliveAt;
+    std::function<TimePoint()> m_CallersAliveAt = nullptr;
     /// Whether this process acts on behalf of an entry, so that it needs proof
     /// that the entry is alive. Left empty, it acts for all entries.
-    std::function<bool(Incarnation)> m_ActsFor;
+    std::function<bool(Incarnation)> m_ActsFor = nullptr;
   };
 
   virtual ~ILinks() = default;
