A later start in an announcement gives no server up

Cause: announce() took the announced start as proof of a restart. It is a hint now: the server itself is asked, and its own reply decides. If that has the known start, the announcement is dropped. If it has a later one, the session closes: runs end by the lists of the later life, since that may already have started runs on orders of this session; orders on their way are fenced. The session of the later life opens from the latest announcement as soon as the earlier one is over, without another heartbeat.

Likewise: a reply of an earlier life that arrives late is dropped; the first reply settles which life was announced, so that a false first announcement is replaced by a true one with an earlier start; 421 proves the loss of an instance only if it had replied at that address before the order was sent; a changed address is used after the first one is lost; a heartbeat that names another service is ignored while runs are placed; sequences of different lives are not compared.

RestartedServerOfTheSameNameHasLostItsRuns waits for one more list: the hold in its first form was sent before the start, so that the list of the later life proved nothing. The test also checks that nothing is concluded earlier.

--- a/packages/worker/internal/backendsession.cpp
+++ b/packages/worker/internal/backendsession.cpp
@@ -103,6 +103,7 @@
       {{"startRenewal", [this](Context &) { m_Server.startRenewal(); }},
        {"stopOrphans", [this](Context &) { stopOrphans(); }},
        {"stopRenewal", [this](Context &) { m_Server.stopRenewal(); }},
+       {"adoptLaterLife", [this](Context &) { m_Server.adoptLaterLife(); }},
        {"stopAllRuns", [this](Context &) { stopAllRuns(); }},
        {"dropWaitingRuns", [this](Context &) { dropWaitingRuns(); }},
        {"markRunsLost", [this](Context &) { markRunsLost(); }}});
@@ -160,17 +161,83 @@
   m_Hooks.m_RunEnded(*Target);
 }
 
-void BackendSession::updateAnnouncement(
+Duration BackendSession::startTime() const {
+  return m_Known.m_OwnStart != Duration::zero() ? m_Known.m_OwnStart
+                                                : m_Known.m_AnnouncedStart;
+}
+
+void BackendSession::receiveAnnouncement(
     const BackendAnnouncement &Announcement) {
-  bool IsOutdated = Announcement.m_Sequence < m_Announcement.m_Sequence;
+  Duration StartedAt = Announcement.m_InstanceStartedAt;
+  if (StartedAt != startTime())
+    return considerSuccessor(Announcement);
+  // Sequences of different lives, or writers, cannot be compared.
+  bool IsOutdated = StartedAt == m_Announcement.m_InstanceStartedAt &&
+                    Announcement.m_Service == m_Announcement.m_Service &&
+                    Announcement.m_Sequence < m_Announcement.m_Sequence;
   if (IsOutdated)
     return;
+  bool IsClosing = m_Context.m_State == SessionState::Closing;
+  bool HasMoved = Announcement.m_Address != m_Announcement.m_Address;
+  if (IsClosing || HasMoved) {
+    m_Successor = Successor{Announcement, m_Timers.now()};
+    return;
+  }
+  bool IsForeign =
+      Announcement.m_Service != m_Announcement.m_Service && m_Runs.size() > 0;
+  if (IsForeign)
+    return;
   m_Announcement = Announcement;
   m_Runs.setCapacity(Announcement.m_Capacity);
   if (Announcement.m_IsLeaving)
     leave();
 }
 
+/// Another life than the known one is announced. Asks the server itself.
+void BackendSession::considerSuccessor(
+    const BackendAnnouncement &Announcement) {
+  bool IsEarlier = Announcement.m_InstanceStartedAt < startTime();
+  if (IsEarlier && m_Known.m_OwnStart != Duration::zero())
+    return;
+  receiveEvidence(LaterAnnouncement{});
+  bool IsNew =
+      !m_Successor || m_Successor->m_Announcement.m_InstanceStartedAt !=
+                          Announcement.m_InstanceStartedAt;
+  if (!IsNew) {
+    m_Successor->m_Announcement = Announcement;
+    return;
+  }
+  logEvent(LogLevel::Warning, "announcement.other_life",
+           {{"instance", Announcement.m_Instance},
+            {"service", Announcement.m_Service},
+            {"started_at_ms", toMilliseconds(Announcement.m_InstanceStartedAt)},
+            {"known_ms", toMilliseconds(startTime())}});
+  m_Successor = Successor{Announcement, m_Timers.now()};
+  m_Server.requestLists();
+}
+
+std::optional<BackendAnnouncement> BackendSession::takeSuccessor() {
+  if (!m_Successor)
+    return std::nullopt;
+  return std::exchange(m_Successor, std::nullopt)->m_Announcement;
+}
+
+/// Learns from a reply which life the server is in, and drops a successor that
+/// it refutes.
+void BackendSession::updateKnownServer(const ConfirmedReply &Confirmed) {
+  Duration StartedAt = Confirmed.m_Reply.m_InstanceStartedAt;
+  if (m_Known.m_FirstReplyAt == TimePoint{})
+    m_Known.m_FirstReplyAt = m_Timers.now();
+  if (StartedAt == Duration::zero())
+    return;
+  m_Known.m_OwnStart = StartedAt;
+  bool IsRefuted = m_Successor &&
+                   Confirmed.m_SentAt >= m_Successor->m_AnnouncedAt &&
+                   m_Successor->m_Announcement.m_InstanceStartedAt != StartedAt;
+  if (IsRefuted)
+    m_Successor.reset();
+}
+
 void BackendSession::leave() { fire(SessionEvent::Leave); }
 
 void BackendSession::receiveEvidence(const ServerEvidence &Evidence) {
@@ -388,9 +455,13 @@
 
 void BackendSession::receiveLists(const ConfirmedReply &Confirmed) {
   const HoldReply &Reply = Confirmed.m_Reply;
-  receiveEvidence(OwnStartTime{Reply.m_InstanceStartedAt});
+  OwnStartTime Stated{Reply.m_InstanceStartedAt};
+  if (isFromEarlierLife(m_Known, Stated))
+    return;
+  receiveEvidence(Stated);
   if (isGone())
     return;
+  updateKnownServer(Confirmed);
   processEndedRuns(Reply);
   updateProgress(Reply);
   std::set<RunId> Listed;
--- a/packages/worker/internal/backendsession.h
+++ b/packages/worker/internal/backendsession.h
@@ -29,9 +29,14 @@
 
   const BackendAnnouncement &announcement() const { return m_Announcement; }
 
-  /// Takes a further announcement of the same instance; outdated ones are
-  /// ignored.
-  void updateAnnouncement(const BackendAnnouncement &Announcement);
+  /// Takes a further announcement under the name of the instance. One of
+  /// another life is no more than a reason to ask the server.
+  void receiveAnnouncement(const BackendAnnouncement &Announcement);
+
+  /// The announcement from which the next session can be opened, if any.
+  std::optional<BackendAnnouncement> takeSuccessor();
+
+  std::uint64_t token() const { return m_Server.token(); }
 
   /// The server accepts no more work.
   void leave();
@@ -65,6 +70,11 @@
   struct Context {
     SessionState m_State = SessionState::Reconciling;
   };
+  /// An announcement that this session cannot serve.
+  struct Successor {
+    BackendAnnouncement m_Announcement;
+    TimePoint m_AnnouncedAt;
+  };
   using SessionChart = BoundChart<Context, SessionState, SessionEvent>;
 
   SessionChart bindSession(const IChartSource &Charts);
@@ -74,6 +84,9 @@
   /// \p Evidence is logged if the run ends.
   void fireRun(const RunPointer &Target, RunEvent Event,
                std::string_view Evidence);
+  Duration startTime() const;
+  void considerSuccessor(const BackendAnnouncement &Announcement);
+  void updateKnownServer(const ConfirmedReply &Confirmed);
   void receiveEvidence(const RunPointer &About, const RunEvidence &Evidence);
   void endWhenDrained();
   void stopAllRuns();
@@ -110,6 +123,7 @@
   const RunChart m_RunChart;
   Context m_Context;
   KnownServer m_Known;
+  std::optional<Successor> m_Successor;
   /// Name of the evidence that last had an effect on the session.
   std::string_view m_LastEvidence = "announcement";
   RunTable m_Runs;
--- a/packages/worker/internal/runjudge.cpp
+++ b/packages/worker/internal/runjudge.cpp
@@ -58,14 +58,27 @@
 struct ServerJudge {
   const KnownServer &m_Known;
 
+  /// The first reply settles which life was announced; later ones can only
+  /// state a later life.
   std::optional<SessionEvent> operator()(const OwnStartTime &Stated) const {
-    bool IsKnown = Stated.m_StartedAt != Duration::zero() &&
-                   m_Known.m_AnnouncedStart != Duration::zero();
-    if (!IsKnown || Stated.m_StartedAt == m_Known.m_AnnouncedStart)
+    if (Stated.m_StartedAt == Duration::zero())
       return std::nullopt;
-    return SessionEvent::BackendLost;
+    bool IsFirst = m_Known.m_OwnStart == Duration::zero();
+    if (IsFirst && m_Known.m_AnnouncedStart != Duration::zero() &&
+        m_Known.m_AnnouncedStart != Stated.m_StartedAt)
+      return SessionEvent::Misannounced;
+    if (IsFirst || Stated.m_StartedAt <= m_Known.m_OwnStart)
+      return std::nullopt;
+    return SessionEvent::Reborn;
   }
-  std::optional<SessionEvent> operator()(const OtherInstanceReplied &) const {
+  /// Two instances do not use one address at the same time. An instance that
+  /// never replied there has started nothing.
+  std::optional<SessionEvent>
+  operator()(const OtherInstanceReplied &Reply) const {
+    if (m_Known.m_FirstReplyAt == TimePoint{})
+      return SessionEvent::Misannounced;
+    if (Reply.m_SentAt < m_Known.m_FirstReplyAt)
+      return std::nullopt;
     return SessionEvent::BackendLost;
   }
   std::optional<SessionEvent> operator()(const LeaseLapsed &) const {
@@ -75,8 +88,9 @@
   std::optional<SessionEvent> operator()(const ConnectionRefused &) const {
     return SessionEvent::NotReached;
   }
+  /// Anybody may have written it; the server's own reply decides.
   std::optional<SessionEvent> operator()(const LaterAnnouncement &) const {
-    return SessionEvent::BackendLost;
+    return std::nullopt;
   }
   /// Announces the end of the server, which may be seconds away.
   std::optional<SessionEvent> operator()(const Deregistration &) const {
@@ -95,4 +109,9 @@
   return std::visit(ServerJudge{Known}, Evidence);
 }
 
+bool isFromEarlierLife(const KnownServer &Known, const OwnStartTime &Stated) {
+  return Stated.m_StartedAt != Duration::zero() &&
+         Stated.m_StartedAt < Known.m_OwnStart;
+}
+
 } // namespace cyclamenwalk
--- a/packages/worker/internal/runjudge.h
+++ b/packages/worker/internal/runjudge.h
@@ -27,6 +27,9 @@
 std::optional<SessionEvent> judge(const KnownServer &Known,
                                   const ServerEvidence &Evidence);
 
+/// Whether a reply is one of an earlier life of the server that arrives late.
+bool isFromEarlierLife(const KnownServer &Known, const OwnStartTime &Stated);
+
 } // namespace cyclamenwalk
 
 #endif // CYCLAMENWALK_WORKER_INTERNAL_RUNJUDGE_H
--- a/packages/worker/internal/serverlink.cpp
+++ b/packages/worker/internal/serverlink.cpp
@@ -17,6 +17,14 @@
 
 ServerLink::~ServerLink() { m_Timers.cancel(m_Timer); }
 
+void ServerLink::adoptLaterLife() {
+  stopRenewal();
+  m_LastEndNumber = 0;
+  // The later life may have taken orders until now.
+  m_LeaseSentAt = m_Timers.now();
+  fenceOrders(m_Token);
+}
+
 void ServerLink::close() {
   m_Timers.cancel(m_Timer);
   m_Alive.reset();
--- a/packages/worker/internal/serverlink.h
+++ b/packages/worker/internal/serverlink.h
@@ -48,6 +48,10 @@
   /// that confirms the new token is passed to m_HoldConfirmed.
   void fenceOrders(std::uint64_t OrderToken);
 
+  /// A later life of the server numbers its ends anew, and may still take
+  /// orders that were sent to the earlier one; they are fenced.
+  void adoptLaterLife();
+
   /// Sends no more holds and drops all outstanding replies.
   void close();
 
--- a/packages/worker/internal/sessionchart.h
+++ b/packages/worker/internal/sessionchart.h
@@ -19,6 +19,8 @@
   NotReached,
   Leave,
   Deregistered,
+  Reborn,
+  Misannounced,
   RunsOver,
   BackendLost
 };
@@ -28,9 +30,9 @@
       "reconciling", "serving", "unreachable", "leaving", "closing", "gone"};
 };
 template <> struct ChartNames<SessionEvent> {
-  static constexpr std::array<std::string_view, 7> Values{
-      "noOrphans",    "orphansFound", "notReached", "leave",
-      "deregistered", "runsOver",     "backendLost"};
+  static constexpr std::array<std::string_view, 9> Values{
+      "noOrphans", "orphansFound", "notReached", "leave",      "deregistered",
+      "reborn",    "misannounced", "runsOver",   "backendLost"};
 };
 
 } // namespace cyclamenwalk
--- a/packages/worker/internal/workerservice.cpp
+++ b/packages/worker/internal/workerservice.cpp
@@ -52,6 +52,7 @@
 
 WorkerService::~WorkerService() {
   m_Timers.cancel(m_ReportTimer);
+  m_Timers.cancel(m_ReplaceTimer);
   m_Timers.cancel(m_OverdueTimer);
 }
 
@@ -72,25 +73,14 @@
 }
 
 void WorkerService::announce(const BackendAnnouncement &Announcement) {
-  removeGoneSessions();
-  SessionPointer Session = findSession(Announcement.m_Instance);
-  if (!Session)
-    return openSession(Announcement);
-  Duration SessionBornAt = Session->announcement().m_InstanceStartedAt;
-  bool IsOutdated = Announcement.m_InstanceStartedAt < SessionBornAt;
-  if (IsOutdated)
-    return;
-  bool IsLaterInstance = Announcement.m_InstanceStartedAt > SessionBornAt;
-  if (!IsLaterInstance) {
-    Session->updateAnnouncement(Announcement);
-    return;
-  }
-  Session->receiveEvidence(LaterAnnouncement{});
-  openSession(Announcement);
+  replaceGoneSessions();
+  if (SessionPointer Session = findSession(Announcement.m_Instance))
+    Session->receiveAnnouncement(Announcement);
+  else
+    openSession(Announcement);
 }
 
 void WorkerService::openSession(const BackendAnnouncement &Announcement) {
-  removeGoneSessions();
   // A server that is already leaving gets no work.
   if (Announcement.m_IsLeaving)
     return;
@@ -98,20 +88,43 @@
       Announcement, m_Settings, m_Dependencies,
       BackendSession::Hooks{
           [this](const Run &Ended) { recordResult(Ended); },
-          [this] { recordChange(); },
+          [this] { handleSessionChange(); },
           [this](const Run &Late) { reportDeadlineMiss(Late); }}));
 }
 
-void WorkerService::removeGoneSessions() {
+void WorkerService::handleSessionChange() {
+  recordChange();
+  bool HasGoneSession = std::any_of(
+      m_Sessions.begin(), m_Sessions.end(),
+      [](const SessionPointer &Session) { return Session->isGone(); });
+  if (!HasGoneSession || m_ReplaceTimer != 0)
+    return;
+  // The session that has changed is still in use.
+  m_ReplaceTimer = m_Timers.subscribe(Duration::zero(), [this] {
+    m_ReplaceTimer = 0;
+    replaceGoneSessions();
+  });
+}
+
+/// Opens the sessions whose predecessors are proven over.
+void WorkerService::replaceGoneSessions() {
+  std::vector<BackendAnnouncement> Successors;
+  for (const SessionPointer &Session : m_Sessions) {
+    if (!Session->isGone())
+      continue;
+    if (auto Successor = Session->takeSuccessor())
+      Successors.push_back(std::move(*Successor));
+  }
   std::erase_if(m_Sessions, [](const SessionPointer &Session) {
     return Session->isGone();
   });
+  for (const BackendAnnouncement &Successor : Successors)
+    openSession(Successor);
 }
 
 void WorkerService::deregister(const std::string &Instance) {
   if (SessionPointer Session = findSession(Instance))
     Session->receiveEvidence(Deregistration{});
-  removeGoneSessions();
 }
 
 void WorkerService::drain() {
--- a/packages/worker/internal/workerservice.h
+++ b/packages/worker/internal/workerservice.h
@@ -41,7 +41,8 @@
   SessionPointer findSession(const std::string &Instance) const;
   SessionPointer currentSession() const;
   void openSession(const BackendAnnouncement &Announcement);
-  void removeGoneSessions();
+  void handleSessionChange();
+  void replaceGoneSessions();
   void receivePlacement(Incarnation Entry, PlaceTasks &Body);
   void refuseTasks(Incarnation Entry, const PlaceTasks &Body,
                    const std::vector<PlacedTask> &Tasks);
@@ -62,11 +63,12 @@
   const WorkerDependencies m_Dependencies;
   ITimerService &m_Timers;
   std::map<Incarnation, LinkedEntry> m_Entries;
-  /// Sorted by the start of the instance; the latest is the last.
+  /// One for each instance at most; the last one was opened last.
   std::vector<SessionPointer> m_Sessions;
   bool m_IsDraining = false;
   TimerId m_ReportTimer = 0;
   TimerId m_OverdueTimer = 0;
+  TimerId m_ReplaceTimer = 0;
   /// When m_ReportTimer fires.
   TimePoint m_ReportDueAt;
 };
--- a/packages/worker/tests/capacityproperty_test.cpp
+++ b/packages/worker/tests/capacityproperty_test.cpp
@@ -132,6 +132,21 @@
     Announcement.m_Address = "10.0.0.9:80";
     Announcement.m_Service = "gatepost";
     Announcement.m_Capacity = {CapacityMilliCores, 262144, 0};
+    Announcement.m_InstanceStartedAt = m_Server.startedAt();
+    Announcement.m_Sequence = ++m_Sequence;
+    m_Worker->announce(Announcement);
+  }
+
+  /// A heartbeat of another writer under the name of the server.
+  void announceFalsely() {
+    BackendAnnouncement Announcement;
+    Announcement.m_Instance = "i-1";
+    Announcement.m_Address = "10.0.0.9:80";
+    Announcement.m_Service = "unknown";
+    Announcement.m_Capacity = {10 * CapacityMilliCores, 262144, 0};
+    Announcement.m_InstanceStartedAt = m_Server.startedAt() -
+                                       milliseconds(500) +
+                                       milliseconds(m_Server.draw(1000));
     Announcement.m_Sequence = ++m_Sequence;
     m_Worker->announce(Announcement);
   }
@@ -154,6 +169,10 @@
       m_Server.refuseConnections(milliseconds(m_Server.draw(300)));
     else if (Action == 9 && m_Server.draw(15) == 0)
       m_Worker->deregister("i-1");
+    else if (Action == 9 && m_Server.draw(10) == 0)
+      m_Server.restart(milliseconds(m_Server.draw(600)));
+    else if (Action == 9 && m_Server.draw(5) == 0)
+      announceFalsely();
   }
 
   void place(const Peer &From) {
--- a/packages/worker/tests/mocks/backendcontrolfake.h
+++ b/packages/worker/tests/mocks/backendcontrolfake.h
@@ -69,6 +69,15 @@
       Hold.m_Done(makeReply(Outcome));
   }
 
+  /// Starts a later life, which knows nothing of before.
+  void restart(Duration StartedAt) {
+    m_InstanceStartedAt = StartedAt;
+    m_Running.clear();
+    m_Ended.clear();
+    m_Token = m_LastEndNumber = m_Acknowledged = 0;
+    m_LeaseUntil = {};
+  }
+
   /// Replies to the start orders that were kept.
   void answerStarts(OrderOutcome Outcome) {
     auto Starts = std::move(m_PendingStarts);
--- a/packages/worker/tests/mocks/backendservermodel.h
+++ b/packages/worker/tests/mocks/backendservermodel.h
@@ -15,8 +15,8 @@
 /// A backend server with the rules of the platform: it starts whatever it is
 /// told to, keeps the highest token, and ends all runs when the lease expires.
 /// At random it delays orders by up to seconds, loses answers, lets them
-/// overtake each other, executes orders a second time later on, and refuses
-/// connections for a while.
+/// overtake each other, executes orders a second time later on, refuses
+/// connections for a while, and is reborn under its name.
 class BackendServerModel final : public IBackendControl {
 public:
   BackendServerModel(ManualTimerService &Timers, std::uint32_t Seed)
@@ -43,6 +43,22 @@
     m_RefusesUntil = std::max(m_RefusesUntil, m_Timers.now() + Span);
   }
 
+  /// Loses everything, and starts again after \p Span.
+  void restart(Duration Span) {
+    refuseConnections(Span);
+    m_StartedAt = std::max(m_StartedAt + milliseconds(1),
+                           m_Timers.now().time_since_epoch() + Span);
+    m_ClockOrigin = m_StartedAt - seconds(1);
+    m_Token = 0;
+    m_LeaseUntil = {};
+    m_LastEndNumber = 0;
+    m_Running.clear();
+    m_Ended.clear();
+    m_HighestEnded.clear();
+  }
+
+  Duration startedAt() const { return m_StartedAt; }
+
   bool isRunning(const RunId &Run, const std::string &Spec) {
     checkLease();
     auto It = m_Running.find(Run);
@@ -84,7 +100,16 @@
 private:
   static constexpr Duration OrderTimeout = milliseconds(60);
 
-  Duration now() const { return m_Timers.now().time_since_epoch(); }
+  static constexpr Duration MaxLease = milliseconds(1000);
+
+  /// The server's clock.
+  Duration now() const {
+    return m_Timers.now().time_since_epoch() - m_ClockOrigin;
+  }
+
+  void extendLease(Duration Until) {
+    m_LeaseUntil = std::max(m_LeaseUntil, std::min(Until, now() + MaxLease));
+  }
 
   /// Executes \p Call after a network delay and passes its result to \p Done,
   /// or an unanswered one after \p Timeout. Faults: the order is executed late
@@ -105,6 +130,8 @@
                          [Answer, NotSent] { Answer(NotSent); });
       return;
     }
+    // A connection ends with the life of the server that it was opened to.
+    Duration SentTo = m_StartedAt;
     std::size_t Fault = m_IsFaulty ? draw(12) : 12;
     if (Fault == 0)
       return;
@@ -115,8 +142,10 @@
     Duration AnswerAfter = microseconds(100 + draw(8000));
     // Only the answer to the second copy of an order arrives.
     if (Fault == 4) {
-      m_Timers.subscribe(ExecutedAfter, [this, Call] {
+      m_Timers.subscribe(ExecutedAfter, [this, Call, SentTo] {
         checkLease();
+        if (m_StartedAt != SentTo)
+          return;
         Call();
         if (draw(4) == 0)
           endRandomRun();
@@ -124,8 +153,10 @@
       ExecutedAfter += milliseconds(draw(50));
     }
     m_Timers.subscribe(
-        ExecutedAfter, [this, Call, Answer, IsAnswerLost, AnswerAfter] {
+        ExecutedAfter, [this, Call, Answer, IsAnswerLost, AnswerAfter, SentTo] {
           checkLease();
+          if (m_StartedAt != SentTo)
+            return;
           Reply Value = Call();
           if (!IsAnswerLost)
             m_Timers.subscribe(AnswerAfter, [Answer, Value] { Answer(Value); });
@@ -136,7 +167,7 @@
     if (Order.m_Target.m_FencingToken < m_Token)
       return {OrderOutcome::Fenced, now()};
     m_Token = Order.m_Target.m_FencingToken;
-    m_LeaseUntil = std::max(m_LeaseUntil, Order.m_LeaseUntil);
+    extendLease(Order.m_LeaseUntil);
     if (m_Running.count(Order.m_Run))
       return {OrderOutcome::Done, now()};
     std::uint32_t &Highest = m_HighestEnded[Order.m_Run.m_Task];
@@ -169,18 +200,19 @@
   HoldReply executeHold(const HoldOrder &Order) {
     HoldReply Reply;
     Reply.m_Clock = now();
+    Reply.m_InstanceStartedAt = m_StartedAt;
     Reply.m_Outcome = OrderOutcome::Fenced;
     if (Order.m_Target.m_FencingToken < m_Token)
       return Reply;
     m_Token = Order.m_Target.m_FencingToken;
-    m_LeaseUntil = std::max(m_LeaseUntil, Order.m_LeaseUntil);
-    m_LastSeen = std::max(m_LastSeen, Order.m_LastEndNumber);
+    extendLease(Order.m_LeaseUntil);
+    std::erase_if(m_Ended, [&Order](const EndedRun &Ended) {
+      return Ended.m_Number <= Order.m_LastEndNumber;
+    });
     Reply.m_Outcome = OrderOutcome::Done;
     for (const auto &Item : m_Running)
       Reply.m_Running.push_back({Item.first, 50});
-    for (const EndedRun &Ended : m_Ended)
-      if (Ended.m_Number > m_LastSeen)
-        Reply.m_Ended.push_back(Ended);
+    Reply.m_Ended = m_Ended;
     return Reply;
   }
 
@@ -195,9 +227,11 @@
   std::mt19937 m_Random;
   std::uint64_t m_Token = 0;
   Duration m_LeaseUntil{};
-  std::uint64_t m_LastSeen = 0;
   std::uint64_t m_LastEndNumber = 0;
   TimePoint m_RefusesUntil;
+  Duration m_StartedAt = seconds(1);
+  /// The time of day at which the server's clock was zero.
+  Duration m_ClockOrigin{};
   /// The runs in progress and their specifications, which differ by job.
   std::map<RunId, std::string> m_Running;
   /// All runs that have started.
--- a/packages/worker/tests/workerevidence_test.cpp
+++ b/packages/worker/tests/workerevidence_test.cpp
@@ -158,3 +158,137 @@
   place(makePlacement(1, 3));
   EXPECT_EQ(m_Control.m_Starts.size(), 2u);
 }
+
+/// Guards against tasks that run twice: a heartbeat of another writer under the
+/// name of the server, with a later start.
+TEST_F(WorkerEvidenceTest, LaterAnnouncementAloneEndsNoRun) {
+  m_Control.m_InstanceStartedAt = seconds(100);
+  serve();
+  place(makePlacement(1));
+  BackendAnnouncement False = makeAnnouncement();
+  False.m_InstanceStartedAt = seconds(200);
+  False.m_Service = "unknown";
+  m_Worker->announce(False);
+  EXPECT_TRUE(takeResults().empty());
+  ASSERT_GE(m_Control.m_Holds.size(), 2u) << "the server itself is asked";
+  m_Control.answerHolds();
+  m_Control.answerHolds();
+  m_Worker->announce(makeAnnouncement());
+  place(makePlacement(1, 2));
+  EXPECT_EQ(m_Control.m_Starts.size(), 2u) << "the server stays in use";
+  m_Control.endRun({"job1.0", 1}, RunOutcome::Succeeded);
+  m_Control.answerHolds();
+  auto Results = takeResults();
+  ASSERT_EQ(Results.size(), 1u);
+  EXPECT_EQ(Results[0].m_RunOutcome, RunOutcome::Succeeded);
+}
+
+TEST_F(WorkerEvidenceTest, ServerThatWasRebornIsUsedWithoutAnotherHeartbeat) {
+  m_Control.m_InstanceStartedAt = seconds(100);
+  serve();
+  place(makePlacement(1));
+  m_Timers.advance(milliseconds(1));
+  m_Control.restart(seconds(200));
+  m_Worker->announce(makeAnnouncement());
+  m_Control.answerHolds();
+  m_Control.answerHolds();
+  auto Results = takeResults();
+  ASSERT_EQ(Results.size(), 1u);
+  EXPECT_EQ(Results[0].m_RunOutcome, RunOutcome::BackendGone);
+  m_Control.answerHolds();
+  place(makePlacement(1, 2));
+  EXPECT_EQ(m_Control.m_Starts.size(), 2u);
+}
+
+/// A run that the later life has started, before the agent knew of it, is no
+/// run of the earlier life.
+TEST_F(WorkerEvidenceTest, RunOfTheLaterLifeIsNotTakenForEnded) {
+  m_Control.m_InstanceStartedAt = seconds(100);
+  serve();
+  m_Control.restart(seconds(200));
+  place(makePlacement(1));
+  ASSERT_EQ(m_Control.m_Running.size(), 1u);
+  m_Control.m_LosesStops = true;
+  m_Control.answerHolds();
+  m_Control.answerHolds();
+  EXPECT_TRUE(takeResults().empty());
+  m_Control.endRun({"job1.0", 1}, RunOutcome::Succeeded);
+  m_Control.answerHolds();
+  auto Results = takeResults();
+  ASSERT_EQ(Results.size(), 1u);
+  EXPECT_EQ(Results[0].m_RunOutcome, RunOutcome::Succeeded);
+}
+
+/// The first announcement that an agent sees may be a false one.
+TEST_F(WorkerEvidenceTest, ServerReplacesAFalseAnnouncementOfALaterStart) {
+  m_Control.m_InstanceStartedAt = seconds(100);
+  BackendAnnouncement False = makeAnnouncement();
+  False.m_InstanceStartedAt = seconds(200);
+  False.m_Capacity = {640000, 262144, 0};
+  m_Worker->announce(False);
+  m_Worker->announce(makeAnnouncement());
+  m_Control.answerHolds();
+  m_Timers.advance(milliseconds(1));
+  m_Control.answerHolds();
+  place(makePlacement(7));
+  EXPECT_EQ(m_Control.m_Starts.size(), 6u);
+}
+
+TEST_F(WorkerEvidenceTest, OtherInstanceProvesNothingBeforeTheFirstReply) {
+  m_Worker->announce(makeAnnouncement("i-2"));
+  m_Control.answerHolds(OrderOutcome::WrongInstance);
+  EXPECT_TRUE(m_Control.m_Holds.empty());
+  m_Worker->announce(makeAnnouncement("i-2"));
+  m_Control.answerHolds();
+  place(makePlacement(1));
+  EXPECT_EQ(m_Control.m_Starts.size(), 1u);
+}
+
+/// Guards against tasks that run twice: a session is kept when another instance
+/// is announced, until that one replies at its address.
+TEST_F(WorkerEvidenceTest, AnotherInstanceIsNoProofUntilItReplies) {
+  serve();
+  place(makePlacement(1));
+  m_Worker->announce(makeAnnouncement("i-2"));
+  EXPECT_TRUE(takeResults().empty());
+  m_Timers.advance(milliseconds(1));
+  m_Control.answerHolds();
+  m_Control.answerHolds(OrderOutcome::WrongInstance);
+  auto Results = takeResults();
+  ASSERT_EQ(Results.size(), 1u);
+  EXPECT_EQ(Results[0].m_RunOutcome, RunOutcome::BackendGone);
+}
+
+/// A server in use has one service; a false heartbeat must not take it away.
+TEST_F(WorkerEvidenceTest, AnnouncementOfAnotherServiceIsIgnoredWhileInUse) {
+  serve();
+  place(makePlacement(1));
+  BackendAnnouncement False = makeAnnouncement();
+  False.m_Service = "unknown";
+  False.m_Sequence = 1000;
+  m_Worker->announce(False);
+  m_Worker->announce(makeAnnouncement());
+  place(makePlacement(1, 2));
+  EXPECT_EQ(m_Control.m_Starts.size(), 2u);
+}
+
+/// A heartbeat that names another address does not redirect the session; the
+/// address is used once the server has been lost at the first one.
+TEST_F(WorkerEvidenceTest, ChangedAddressIsUsedAfterTheFirstOneIsLost) {
+  serve();
+  place(makePlacement(1));
+  BackendAnnouncement Moved = makeAnnouncement();
+  Moved.m_Address = "10.0.0.9:81";
+  m_Worker->announce(Moved);
+  EXPECT_TRUE(takeResults().empty());
+  for (int I = 0;
+       I < 60 &&
+       m_Control.m_Holds.back().m_Order.m_Target.m_Address != Moved.m_Address;
+       ++I) {
+    m_Control.answerHolds(OrderOutcome::Unanswered);
+    m_Timers.advance(milliseconds(30));
+  }
+  ASSERT_EQ(m_Control.m_Holds.size(), 1u);
+  EXPECT_EQ(m_Control.m_Holds[0].m_Order.m_Target.m_Address, Moved.m_Address);
+  EXPECT_EQ(takeResults().size(), 1u);
+}
--- a/packages/worker/tests/workerservice_test.cpp
+++ b/packages/worker/tests/workerservice_test.cpp
@@ -211,6 +211,8 @@
   m_Control.m_InstanceStartedAt = seconds(200);
   m_Control.m_Running.clear();
   m_Control.answerHolds();
+  EXPECT_TRUE(takeResults().empty()) << "the hold was sent before the start";
+  m_Control.answerHolds();
   auto Results = takeResults();
   ASSERT_EQ(Results.size(), 1u);
   EXPECT_EQ(Results[0].m_RunOutcome, RunOutcome::BackendGone);
