The next session with a server fences all orders of the earlier one

An order that a lost session had sent could be carried out after the next session had listed the runs, because tokens come from the time of day, which can be below the tokens that a session has raised itself to. The token of a session is now above those of all earlier sessions of the agent, so that its first list makes their orders void.

--- a/packages/worker/internal/workerservice.cpp
+++ b/packages/worker/internal/workerservice.cpp
@@ -84,8 +84,13 @@
   // A server that is already leaving gets no work.
   if (Announcement.m_IsLeaving)
     return;
+  // Orders of earlier sessions may still be on their way to the server.
+  WorkerDependencies Dependencies = m_Dependencies;
+  Dependencies.m_MakeFencingToken = [this] {
+    return std::max(m_Dependencies.m_MakeFencingToken(), m_HighestToken + 1);
+  };
   m_Sessions.push_back(std::make_shared<BackendSession>(
-      Announcement, m_Settings, m_Dependencies,
+      Announcement, m_Settings, Dependencies,
       BackendSession::Hooks{
           [this](const Run &Ended) { recordResult(Ended); },
           [this] { handleSessionChange(); },
@@ -112,6 +117,7 @@
   for (const SessionPointer &Session : m_Sessions) {
     if (!Session->isGone())
       continue;
+    m_HighestToken = std::max(m_HighestToken, Session->token());
     if (auto Successor = Session->takeSuccessor())
       Successors.push_back(std::move(*Successor));
   }
--- a/packages/worker/internal/workerservice.h
+++ b/packages/worker/internal/workerservice.h
@@ -65,6 +65,8 @@
   std::map<Incarnation, LinkedEntry> m_Entries;
   /// One for each instance at most; the last one was opened last.
   std::vector<SessionPointer> m_Sessions;
+  /// The highest fencing token of the sessions that have ended.
+  std::uint64_t m_HighestToken = 0;
   bool m_IsDraining = false;
   TimerId m_ReportTimer = 0;
   TimerId m_OverdueTimer = 0;
--- a/packages/worker/tests/workerevidence_test.cpp
+++ b/packages/worker/tests/workerevidence_test.cpp
@@ -292,3 +292,22 @@
   EXPECT_EQ(m_Control.m_Holds[0].m_Order.m_Target.m_Address, Moved.m_Address);
   EXPECT_EQ(takeResults().size(), 1u);
 }
+
+/// Guards against orders of an earlier session that are carried out after the
+/// next one has listed the runs.
+TEST_F(WorkerEvidenceTest, NextSessionFencesAllOrdersOfTheEarlierOne) {
+  serve();
+  m_Control.m_DelaysStarts = true;
+  place(makePlacement(1));
+  m_Control.m_DelaysStarts = false;
+  StartOrder Late = m_Control.m_DelayedStarts.at(0);
+  Late.m_Target.m_FencingToken =
+      m_Control.m_Holds.back().m_Order.m_Target.m_FencingToken;
+  for (int I = 0; I < 60; ++I) {
+    m_Timers.advance(milliseconds(30));
+    m_Control.answerHolds(OrderOutcome::Unanswered);
+  }
+  m_Control.restart({});
+  serve();
+  EXPECT_EQ(m_Control.executeStart(Late), OrderOutcome::Fenced);
+}
