A run missing from an incomplete list has not ended

A server lists at most 500 ends a reply. A run whose end was not among them was neither in progress nor ended in the reply, and was reported as gone together with its server, so that its task ran again after it had ended. Such a list proves nothing about missing runs now; the next one follows at once, with the ends processed.

Evidence: on the old code workerevidence_test.cpp:327: Failure, Value of: takeResults().empty(), Expected: true.

--- a/packages/worker/internal/backendsession.cpp
+++ b/packages/worker/internal/backendsession.cpp
@@ -553,7 +553,8 @@
 
 void BackendSession::detectMissingRuns(const ConfirmedReply &Confirmed,
                                        const std::set<RunId> &Listed) {
-  NotListed Evidence{Confirmed.m_SentAt, Confirmed.m_Token, true};
+  NotListed Evidence{Confirmed.m_SentAt, Confirmed.m_Token,
+                     Confirmed.m_Reply.hasAllEnds()};
   for (const RunPointer &Candidate : m_Runs.runs())
     if (!Listed.count(Candidate->m_Id))
       receiveEvidence(Candidate, Evidence);
--- a/packages/worker/internal/runjudge.cpp
+++ b/packages/worker/internal/runjudge.cpp
@@ -27,7 +27,7 @@
 /// that confirms a later token than that of the run's order must contain the
 /// run if it ever started, since the order is void from then on.
 bool mustBeListed(const Run &Judged, const NotListed &List) {
-  if (!usesResources(Judged))
+  if (!usesResources(Judged) || !List.m_HasAllEnds)
     return false;
   bool HadStarted =
       Judged.m_StartedAt != TimePoint{} && Judged.m_StartedAt < List.m_SentAt;
--- a/packages/worker/tests/mocks/backendcontrolfake.h
+++ b/packages/worker/tests/mocks/backendcontrolfake.h
@@ -94,7 +94,8 @@
     for (const auto &Item : m_Running)
       Reply.m_Running.push_back({Item.first, Item.second});
     for (const EndedRun &Ended : m_Ended)
-      if (Ended.m_Number > m_Acknowledged)
+      if (Ended.m_Number > m_Acknowledged &&
+          Reply.m_Ended.size() < MaxListedEnds)
         Reply.m_Ended.push_back(Ended);
     return Reply;
   }
--- a/packages/worker/tests/workerevidence_test.cpp
+++ b/packages/worker/tests/workerevidence_test.cpp
@@ -311,3 +311,22 @@
   serve();
   EXPECT_EQ(m_Control.executeStart(Late), OrderOutcome::Fenced);
 }
+
+/// Guards against a task that runs again after it has ended: a server lists no
+/// more than 500 ends at a time.
+TEST_F(WorkerEvidenceTest, RunMissingFromAnIncompleteListHasNotEnded) {
+  serve();
+  place(makePlacement(1));
+  m_Timers.advance(milliseconds(1));
+  m_Control.answerHolds();
+  m_Timers.advance(milliseconds(1));
+  for (std::uint32_t I = 0; I < MaxListedEnds; ++I)
+    m_Control.endRun({"earlier." + std::to_string(I), 1}, RunOutcome::Stopped);
+  m_Control.endRun({"job1.0", 1}, RunOutcome::Succeeded);
+  m_Control.answerHolds();
+  EXPECT_TRUE(takeResults().empty());
+  m_Control.answerHolds();
+  auto Results = takeResults();
+  ASSERT_EQ(Results.size(), 1u);
+  EXPECT_EQ(Results[0].m_RunOutcome, RunOutcome::Succeeded);
+}
--- a/packages/worker/types/backend.h
+++ b/packages/worker/types/backend.h
@@ -6,6 +6,7 @@
 #include "message/types/placement.h"
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -110,6 +111,9 @@
   RunOutcome m_RunOutcome = RunOutcome::Failed;
 };
 
+/// The greatest number of ends in one HoldReply.
+inline constexpr std::size_t MaxListedEnds = 500;
+
 struct HoldReply {
   OrderOutcome m_Outcome = OrderOutcome::Unanswered;
   Duration m_Clock{};
@@ -118,6 +122,9 @@
   std::vector<ActiveRun> m_Running;
   /// Sorted by m_Number.
   std::vector<EndedRun> m_Ended;
+
+  /// Whether no further ends follow in a later reply.
+  bool hasAllEnds() const { return m_Ended.size() < MaxListedEnds; }
 };
 
 /// Timeouts and periods for the control of a backend server.
