--- a/packages/worker/ibackendcontrol.h
+++ b/packages/worker/ibackendcontrol.h
@@ -7,8 +7,10 @@
 
 namespace cyclamenwalk {
 
-/// Sends orders to a backend server. Called on the control thread; each
-/// callback is called exactly once, on the same thread.
+/// Sends orders to a backend server, each order at most once: an order without
+/// a reply is not repeated, so that a reply is the reply to the only copy.
+/// Called on the control thread; each callback is called exactly once, on the
+/// same thread, after the call has returned.
 class IBackendControl {
 public:
   virtual ~IBackendControl() = default;
--- a/packages/worker/internal/backendsession.cpp
+++ b/packages/worker/internal/backendsession.cpp
@@ -64,29 +64,28 @@
                                WorkerSettings Settings,
                                const WorkerDependencies &Dependencies,
                                Hooks Callbacks)
-    : m_Announcement(std::move(Announcement)), m_Settings(Settings),
+    : m_Identity(std::move(Announcement)), m_Settings(Settings),
       m_Timers(Dependencies.m_Timers), m_Metrics(Dependencies.m_Metrics),
       m_Hooks(std::move(Callbacks)),
       m_Chart(bindSession(Dependencies.m_Charts)),
       m_RunChart(bindRun(Dependencies.m_Charts)),
-      m_Runs(m_Announcement.m_Capacity),
-      m_Health(m_Announcement.m_Instance, Dependencies.m_MakeFailureTest(),
+      m_Runs(announcement().m_Capacity),
+      m_Health(announcement().m_Instance, Dependencies.m_MakeFailureTest(),
                Dependencies.m_Charts, m_Timers, [this] { startWaitingRuns(); }),
       m_Server(
-          m_Announcement.m_Address, m_Announcement.m_Instance, Settings,
+          announcement().m_Address, announcement().m_Instance, Settings,
           Dependencies,
           {[this](const ConfirmedReply &Confirmed) { receiveLists(Confirmed); },
            [this](const ServerEvidence &E) { receiveEvidence(E); },
            [this] { return m_Runs.activeCount() > 0; }}) {
   m_Context.m_State = m_Chart.initial();
-  m_Known.m_AnnouncedStart = m_Announcement.m_InstanceStartedAt;
   logEvent(LogLevel::Info, "backend.found",
-           {{"instance", m_Announcement.m_Instance},
-            {"service", m_Announcement.m_Service},
-            {"kind", m_Announcement.m_Kind},
-            {"rack", m_Announcement.m_Rack},
-            {"millicores", m_Announcement.m_Capacity.m_MilliCores},
-            {"memory_mb", m_Announcement.m_Capacity.m_MemoryMb},
+           {{"instance", announcement().m_Instance},
+            {"service", announcement().m_Service},
+            {"kind", announcement().m_Kind},
+            {"rack", announcement().m_Rack},
+            {"millicores", announcement().m_Capacity.m_MilliCores},
+            {"memory_mb", announcement().m_Capacity.m_MemoryMb},
             {"token", m_Server.token()}});
   m_Server.requestLists();
 }
@@ -133,7 +132,7 @@
   auto StateIndex = static_cast<std::size_t>(m_Context.m_State);
   logEvent(
       LogLevel::Info, "backend.state_changed",
-      {{"instance", m_Announcement.m_Instance},
+      {{"instance", announcement().m_Instance},
        {"state", std::string(ChartNames<SessionState>::Values[StateIndex])},
        {"evidence", m_LastEvidence},
        {"runs", m_Runs.size()},
@@ -161,93 +160,41 @@
   m_Hooks.m_RunEnded(*Target);
 }
 
-Duration BackendSession::startTime() const {
-  return m_Known.m_OwnStart != Duration::zero() ? m_Known.m_OwnStart
-                                                : m_Known.m_AnnouncedStart;
-}
-
 void BackendSession::receiveAnnouncement(
     const BackendAnnouncement &Announcement) {
-  Duration StartedAt = Announcement.m_InstanceStartedAt;
-  if (StartedAt != startTime())
-    return considerSuccessor(Announcement);
-  // Sequences of different lives, or writers, cannot be compared.
-  bool IsOutdated = StartedAt == m_Announcement.m_InstanceStartedAt &&
-                    Announcement.m_Service == m_Announcement.m_Service &&
-                    Announcement.m_Sequence < m_Announcement.m_Sequence;
-  if (IsOutdated)
-    return;
   bool IsClosing = m_Context.m_State == SessionState::Closing;
-  bool HasMoved = Announcement.m_Address != m_Announcement.m_Address;
-  if (IsClosing || HasMoved) {
-    m_Successor = Successor{Announcement, m_Timers.now()};
+  AnnouncementUse Use = m_Identity.receive(Announcement, m_Runs.size() > 0,
+                                           IsClosing, m_Timers.now());
+  if (Use == AnnouncementUse::Unconfirmed)
+    return confirmOtherLife(Announcement);
+  if (Use != AnnouncementUse::Adopted)
     return;
-  }
-  bool IsForeign =
-      Announcement.m_Service != m_Announcement.m_Service && m_Runs.size() > 0;
-  if (IsForeign)
-    return;
-  m_Announcement = Announcement;
   m_Runs.setCapacity(Announcement.m_Capacity);
   if (Announcement.m_IsLeaving)
     leave();
 }
 
-/// Another life than the known one is announced. Asks the server itself.
-void BackendSession::considerSuccessor(
-    const BackendAnnouncement &Announcement) {
-  bool IsEarlier = Announcement.m_InstanceStartedAt < startTime();
-  if (IsEarlier && m_Known.m_OwnStart != Duration::zero())
-    return;
-  receiveEvidence(LaterAnnouncement{});
-  bool IsNew =
-      !m_Successor || m_Successor->m_Announcement.m_InstanceStartedAt !=
-                          Announcement.m_InstanceStartedAt;
-  if (!IsNew) {
-    m_Successor->m_Announcement = Announcement;
-    return;
-  }
+/// Asks the server whether it is in the life that was announced.
+void BackendSession::confirmOtherLife(const BackendAnnouncement &Announcement) {
   logEvent(LogLevel::Warning, "announcement.other_life",
            {{"instance", Announcement.m_Instance},
             {"service", Announcement.m_Service},
             {"started_at_ms", toMilliseconds(Announcement.m_InstanceStartedAt)},
-            {"known_ms", toMilliseconds(startTime())}});
-  m_Successor = Successor{Announcement, m_Timers.now()};
+            {"known_ms", toMilliseconds(m_Identity.startTime())}});
+  receiveEvidence(LaterAnnouncement{});
   m_Server.requestLists();
 }
 
-std::optional<BackendAnnouncement> BackendSession::takeSuccessor() {
-  if (!m_Successor)
-    return std::nullopt;
-  return std::exchange(m_Successor, std::nullopt)->m_Announcement;
-}
-
-/// Learns from a reply which life the server is in, and drops a successor that
-/// it refutes.
-void BackendSession::updateKnownServer(const ConfirmedReply &Confirmed) {
-  Duration StartedAt = Confirmed.m_Reply.m_InstanceStartedAt;
-  if (m_Known.m_FirstReplyAt == TimePoint{})
-    m_Known.m_FirstReplyAt = m_Timers.now();
-  if (StartedAt == Duration::zero())
-    return;
-  m_Known.m_OwnStart = StartedAt;
-  bool IsRefuted = m_Successor &&
-                   Confirmed.m_SentAt >= m_Successor->m_AnnouncedAt &&
-                   m_Successor->m_Announcement.m_InstanceStartedAt != StartedAt;
-  if (IsRefuted)
-    m_Successor.reset();
-}
-
 void BackendSession::leave() { fire(SessionEvent::Leave); }
 
 void BackendSession::receiveEvidence(const ServerEvidence &Evidence) {
-  auto Event = judge(m_Known, Evidence);
+  auto Event = judge(m_Identity.known(), Evidence);
   if (!Event || isGone())
     return;
   m_LastEvidence = nameOf(Evidence);
   if (*Event == SessionEvent::BackendLost)
     logEvent(LogLevel::Warning, "backend.lost",
-             {{"instance", m_Announcement.m_Instance},
+             {{"instance", announcement().m_Instance},
               {"evidence", m_LastEvidence},
               {"runs", m_Runs.size()}});
   fire(*Event);
@@ -456,12 +403,13 @@
 void BackendSession::receiveLists(const ConfirmedReply &Confirmed) {
   const HoldReply &Reply = Confirmed.m_Reply;
   OwnStartTime Stated{Reply.m_InstanceStartedAt};
-  if (isFromEarlierLife(m_Known, Stated))
-    return;
+  if (isFromEarlierLife(m_Identity.known(), Stated))
+    return requestFirstLists();
   receiveEvidence(Stated);
   if (isGone())
     return;
-  updateKnownServer(Confirmed);
+  m_Identity.recordReply(Reply.m_InstanceStartedAt, Confirmed.m_SentAt,
+                         m_Timers.now());
   processEndedRuns(Reply);
   updateProgress(Reply);
   std::set<RunId> Listed;
@@ -477,12 +425,16 @@
   detectMissingRuns(Confirmed, Listed);
   fire(m_Orphans.empty() ? SessionEvent::NoOrphans
                          : SessionEvent::OrphansFound);
-  if (m_Context.m_State == SessionState::Reconciling)
-    m_Server.requestLists(m_Settings.m_PollPeriod);
+  requestFirstLists();
   startWaitingRuns();
   endWhenDrained();
 }
 
+void BackendSession::requestFirstLists() {
+  if (m_Context.m_State == SessionState::Reconciling)
+    m_Server.requestLists(m_Settings.m_PollPeriod);
+}
+
 void BackendSession::updateProgress(const HoldReply &Reply) {
   for (const ActiveRun &Active : Reply.m_Running) {
     RunPointer Updated = m_Runs.find(Active.m_Run);
@@ -570,9 +522,9 @@
 
 WorkerReport BackendSession::report() const {
   WorkerReport Report;
-  Report.m_Service = m_Announcement.m_Service;
-  Report.m_Rack = m_Announcement.m_Rack;
-  Report.m_Kind = m_Announcement.m_Kind;
+  Report.m_Service = announcement().m_Service;
+  Report.m_Rack = announcement().m_Rack;
+  Report.m_Kind = announcement().m_Kind;
   Report.m_Capacity = m_Runs.capacity();
   Report.m_Free = m_Runs.free();
   bool IsFull = m_Runs.activeCount() >= m_Health.runLimit();
--- a/packages/worker/internal/backendsession.h
+++ b/packages/worker/internal/backendsession.h
@@ -2,8 +2,8 @@
 #define CYCLAMENWALK_WORKER_INTERNAL_BACKENDSESSION_H
 
 #include "worker/internal/backendhealth.h"
-#include "worker/internal/runjudge.h"
 #include "worker/internal/runtable.h"
+#include "worker/internal/serveridentity.h"
 #include "worker/internal/serverlink.h"
 
 #include <set>
@@ -27,14 +27,18 @@
                  const WorkerDependencies &Dependencies, Hooks Callbacks);
   ~BackendSession();
 
-  const BackendAnnouncement &announcement() const { return m_Announcement; }
+  const BackendAnnouncement &announcement() const {
+    return m_Identity.announcement();
+  }
 
   /// Takes a further announcement under the name of the instance. One of
   /// another life is no more than a reason to ask the server.
   void receiveAnnouncement(const BackendAnnouncement &Announcement);
 
   /// The announcement from which the next session can be opened, if any.
-  std::optional<BackendAnnouncement> takeSuccessor();
+  std::optional<BackendAnnouncement> takeSuccessor() {
+    return m_Identity.takeSuccessor();
+  }
 
   std::uint64_t token() const { return m_Server.token(); }
 
@@ -70,11 +74,6 @@
   struct Context {
     SessionState m_State = SessionState::Reconciling;
   };
-  /// An announcement that this session cannot serve.
-  struct Successor {
-    BackendAnnouncement m_Announcement;
-    TimePoint m_AnnouncedAt;
-  };
   using SessionChart = BoundChart<Context, SessionState, SessionEvent>;
 
   SessionChart bindSession(const IChartSource &Charts);
@@ -84,9 +83,7 @@
   /// \p Evidence is logged if the run ends.
   void fireRun(const RunPointer &Target, RunEvent Event,
                std::string_view Evidence);
-  Duration startTime() const;
-  void considerSuccessor(const BackendAnnouncement &Announcement);
-  void updateKnownServer(const ConfirmedReply &Confirmed);
+  void confirmOtherLife(const BackendAnnouncement &Announcement);
   void receiveEvidence(const RunPointer &About, const RunEvidence &Evidence);
   void endWhenDrained();
   void stopAllRuns();
@@ -103,6 +100,7 @@
   void finishRun(Run &Ended, RunOutcome Outcome);
   void expireRun(const RunId &Id);
 
+  void requestFirstLists();
   void receiveLists(const ConfirmedReply &Confirmed);
   void updateProgress(const HoldReply &Reply);
   void checkDeadline(Run &Running);
@@ -114,7 +112,7 @@
   void updateSlowness(const Run &Ended, Duration RunTime);
   double slowness() const;
 
-  BackendAnnouncement m_Announcement;
+  ServerIdentity m_Identity;
   const WorkerSettings m_Settings;
   ITimerService &m_Timers;
   IMetrics &m_Metrics;
@@ -122,8 +120,6 @@
   const SessionChart m_Chart;
   const RunChart m_RunChart;
   Context m_Context;
-  KnownServer m_Known;
-  std::optional<Successor> m_Successor;
   /// Name of the evidence that last had an effect on the session.
   std::string_view m_LastEvidence = "announcement";
   RunTable m_Runs;
--- a/packages/worker/internal/serverlink.cpp
+++ b/packages/worker/internal/serverlink.cpp
@@ -166,7 +166,8 @@
 void ServerLink::recordReachability(OrderOutcome Outcome, TimePoint SentAt) {
   if (Outcome == OrderOutcome::Unanswered)
     return;
-  m_IsReachable = Outcome != OrderOutcome::NotSent;
+  m_IsReachable = Outcome != OrderOutcome::NotSent &&
+                  Outcome != OrderOutcome::WrongInstance;
   if (Outcome == OrderOutcome::NotSent)
     m_Hooks.m_EvidenceFound(ConnectionRefused{});
   else if (Outcome == OrderOutcome::WrongInstance)
