--- a/packages/worker/internal/backendsession.cpp
+++ b/packages/worker/internal/backendsession.cpp
@@ -64,30 +64,29 @@
                                WorkerSettings Settings,
                                const WorkerDependencies &Dependencies,
                                Hooks Callbacks)
-    : m_Announcement(std::move(Announcement)), m_Settings(Settings),
+    : m_Identity(std::move(Announcement)), m_Settings(Settings),
       m_Timers(Dependencies.m_Timers), m_Metrics(Dependencies.m_Metrics),
       m_Hooks(std::move(Callbacks)),
       m_Chart(bindSession(Dependencies.m_Charts)),
       m_RunChart(bindRun(Dependencies.m_Charts)),
-      m_Runs(m_Announcement.m_Capacity),
-      m_Health(m_Announcement.m_Instance, Dependencies.m_MakeFailureTest(),
+      m_Runs(announcement().m_Capacity),
+      m_Health(announcement().m_Instance, Dependencies.m_MakeFailureTest(),
                Dependencies.m_Charts, m_Timers, [this] { startWaitingRuns(); }),
       m_Server(
-          m_Announcement.m_Address, m_Announcement.m_Instance, Settings,
+          announcement().m_Address, announcement().m_Instance, Settings,
           Dependencies,
           {[this](const ConfirmedReply &Confirmed) { receiveLists(Confirmed); },
            [this](const ServerEvidence &E) { receiveEvidence(E); },
            [this] { return m_Runs.activeCount() > 0; },
            [this] { return leaseLimit(); }}) {
   m_Context.m_State = m_Chart.initial();
-  m_Known.m_AnnouncedStart = m_Announcement.m_InstanceStartedAt;
   logEvent(LogLevel::Info, "backend.found",
-           {{"instance", m_Announcement.m_Instance},
-            {"service", m_Announcement.m_Service},
-            {"kind", m_Announcement.m_Kind},
-            {"rack", m_Announcement.m_Rack},
-            {"millicores", m_Announcement.m_Capacity.m_MilliCores},
-            {"memory_mb", m_Announcement.m_Capacity.m_MemoryMb},
+           {{"instance", announcement().m_Instance},
+            {"service", announcement().m_Service},
+            {"kind", announcement().m_Kind},
+            {"rack", announcement().m_Rack},
+            {"millicores", announcement().m_Capacity.m_MilliCores},
+            {"memory_mb", announcement().m_Capacity.m_MemoryMb},
             {"token", m_Server.token()}});
   m_Server.requestLists();
 }
@@ -104,6 +103,7 @@
       {{"startRenewal", [this](Context &) { m_Server.startRenewal(); }},
        {"stopOrphans", [this](Context &) { stopOrphans(); }},
        {"stopRenewal", [this](Context &) { m_Server.stopRenewal(); }},
+       {"adoptLaterLife", [this](Context &) { m_Server.adoptLaterLife(); }},
        {"stopAllRuns", [this](Context &) { stopAllRuns(); }},
        {"dropWaitingRuns", [this](Context &) { dropWaitingRuns(); }},
        {"markRunsLost", [this](Context &) { markRunsLost(); }}});
@@ -133,7 +133,7 @@
   auto StateIndex = static_cast<std::size_t>(m_Context.m_State);
   logEvent(
       LogLevel::Info, "backend.state_changed",
-      {{"instance", m_Announcement.m_Instance},
+      {{"instance", announcement().m_Instance},
        {"state", std::string(ChartNames<SessionState>::Values[StateIndex])},
        {"evidence", m_LastEvidence},
        {"runs", m_Runs.size()},
@@ -161,27 +161,41 @@
   m_Hooks.m_RunEnded(*Target);
 }
 
-void BackendSession::updateAnnouncement(
+void BackendSession::receiveAnnouncement(
     const BackendAnnouncement &Announcement) {
-  bool IsOutdated = Announcement.m_Sequence < m_Announcement.m_Sequence;
-  if (IsOutdated)
+  bool IsClosing = m_Context.m_State == SessionState::Closing;
+  AnnouncementUse Use = m_Identity.receive(Announcement, m_Runs.size() > 0,
+                                           IsClosing, m_Timers.now());
+  if (Use == AnnouncementUse::Unconfirmed)
+    return confirmOtherLife(Announcement);
+  if (Use != AnnouncementUse::Adopted)
     return;
-  m_Announcement = Announcement;
   m_Runs.setCapacity(Announcement.m_Capacity);
   if (Announcement.m_IsLeaving)
     leave();
 }
 
+/// Asks the server whether it is in the life that was announced.
+void BackendSession::confirmOtherLife(const BackendAnnouncement &Announcement) {
+  logEvent(LogLevel::Warning, "announcement.other_life",
+           {{"instance", Announcement.m_Instance},
+            {"service", Announcement.m_Service},
+            {"started_at_ms", toMilliseconds(Announcement.m_InstanceStartedAt)},
+            {"known_ms", toMilliseconds(m_Identity.startTime())}});
+  receiveEvidence(LaterAnnouncement{});
+  m_Server.requestLists();
+}
+
 void BackendSession::leave() { fire(SessionEvent::Leave); }
 
 void BackendSession::receiveEvidence(const ServerEvidence &Evidence) {
-  auto Event = judge(m_Known, Evidence);
+  auto Event = judge(m_Identity.known(), Evidence);
   if (!Event || isGone())
     return;
   m_LastEvidence = nameOf(Evidence);
   if (*Event == SessionEvent::BackendLost)
     logEvent(LogLevel::Warning, "backend.lost",
-             {{"instance", m_Announcement.m_Instance},
+             {{"instance", announcement().m_Instance},
               {"evidence", m_LastEvidence},
               {"runs", m_Runs.size()}});
   fire(*Event);
@@ -440,9 +454,14 @@
 
 void BackendSession::receiveLists(const ConfirmedReply &Confirmed) {
   const HoldReply &Reply = Confirmed.m_Reply;
-  receiveEvidence(OwnStartTime{Reply.m_InstanceStartedAt});
+  OwnStartTime Stated{Reply.m_InstanceStartedAt};
+  if (isFromEarlierLife(m_Identity.known(), Stated))
+    return requestFirstLists();
+  receiveEvidence(Stated);
   if (isGone())
     return;
+  m_Identity.recordReply(Reply.m_InstanceStartedAt, Confirmed.m_SentAt,
+                         m_Timers.now());
   processEndedRuns(Reply);
   updateProgress(Reply);
   std::set<RunId> Listed;
@@ -458,12 +477,16 @@
   detectMissingRuns(Confirmed, Listed);
   fire(m_Orphans.empty() ? SessionEvent::NoOrphans
                          : SessionEvent::OrphansFound);
-  if (m_Context.m_State == SessionState::Reconciling)
-    m_Server.requestLists(m_Settings.m_PollPeriod);
+  requestFirstLists();
   startWaitingRuns();
   endWhenDrained();
 }
 
+void BackendSession::requestFirstLists() {
+  if (m_Context.m_State == SessionState::Reconciling)
+    m_Server.requestLists(m_Settings.m_PollPeriod);
+}
+
 void BackendSession::updateProgress(const HoldReply &Reply) {
   for (const ActiveRun &Active : Reply.m_Running) {
     RunPointer Updated = m_Runs.find(Active.m_Run);
@@ -534,7 +557,8 @@
 
 void BackendSession::detectMissingRuns(const ConfirmedReply &Confirmed,
                                        const std::set<RunId> &Listed) {
-  NotListed Evidence{Confirmed.m_SentAt, Confirmed.m_Token, true};
+  NotListed Evidence{Confirmed.m_SentAt, Confirmed.m_Token,
+                     Confirmed.m_Reply.hasAllEnds()};
   for (const RunPointer &Candidate : m_Runs.runs())
     if (!Listed.count(Candidate->m_Id))
       receiveEvidence(Candidate, Evidence);
@@ -550,9 +574,9 @@
 
 WorkerReport BackendSession::report() const {
   WorkerReport Report;
-  Report.m_Service = m_Announcement.m_Service;
-  Report.m_Rack = m_Announcement.m_Rack;
-  Report.m_Kind = m_Announcement.m_Kind;
+  Report.m_Service = announcement().m_Service;
+  Report.m_Rack = announcement().m_Rack;
+  Report.m_Kind = announcement().m_Kind;
   Report.m_Capacity = m_Runs.capacity();
   Report.m_Free = m_Runs.free();
   bool IsFull = m_Runs.activeCount() >= m_Health.runLimit();
--- a/packages/worker/internal/serverlink.cpp
+++ b/packages/worker/internal/serverlink.cpp
@@ -20,6 +20,14 @@
 
 ServerLink::~ServerLink() { m_Timers.cancel(m_Timer); }
 
+void ServerLink::adoptLaterLife() {
+  stopRenewal();
+  m_LastEndNumber = 0;
+  // The later life may have taken orders until now.
+  m_LeaseSentAt = m_Timers.now();
+  fenceOrders(m_Token);
+}
+
 void ServerLink::close() {
   m_Timers.cancel(m_Timer);
   m_Alive.reset();
@@ -161,7 +169,8 @@
 void ServerLink::recordReachability(OrderOutcome Outcome, TimePoint SentAt) {
   if (Outcome == OrderOutcome::Unanswered)
     return;
-  m_IsReachable = Outcome != OrderOutcome::NotSent;
+  m_IsReachable = Outcome != OrderOutcome::NotSent &&
+                  Outcome != OrderOutcome::WrongInstance;
   if (Outcome == OrderOutcome::NotSent)
     m_Hooks.m_EvidenceFound(ConnectionRefused{});
   else if (Outcome == OrderOutcome::WrongInstance)
--- a/packages/worker/tests/mocks/backendcontrolfake.h
+++ b/packages/worker/tests/mocks/backendcontrolfake.h
@@ -72,6 +72,15 @@
       Hold.m_Done(makeReply(Outcome));
   }
 
+  /// Starts a later life, which knows nothing of before.
+  void restart(Duration StartedAt) {
+    m_InstanceStartedAt = StartedAt;
+    m_Running.clear();
+    m_Ended.clear();
+    m_Token = m_LastEndNumber = m_Acknowledged = 0;
+    m_LeaseUntil = {};
+  }
+
   /// Replies to the start orders that were kept.
   void answerStarts(OrderOutcome Outcome) {
     auto Starts = std::move(m_PendingStarts);
@@ -88,7 +97,8 @@
     for (const auto &Item : m_Running)
       Reply.m_Running.push_back({Item.first, Item.second});
     for (const EndedRun &Ended : m_Ended)
-      if (Ended.m_Number > m_Acknowledged)
+      if (Ended.m_Number > m_Acknowledged &&
+          Reply.m_Ended.size() < MaxListedEnds)
         Reply.m_Ended.push_back(Ended);
     return Reply;
   }
