State that the blocking HTTP call is sent once, and that it had no response

HttpResponse::m_Failure was None for it although no response had come. Its fresh connections were never affected by repetition; truncated responses had no status before either (BlockingHttp.truncatedResponseIsNoResponse).

--- a/packages/http/blockinghttp.h
+++ b/packages/http/blockinghttp.h
@@ -6,8 +6,9 @@
 
 namespace cyclamenwalk {
 
-/// Sends \p Request and blocks until the response arrives; its status is 0 if
-/// none does. Must not be called on the control thread.
+/// Sends \p Request once, on a new connection, and blocks until the response
+/// arrives; its status is 0 if none does, and the server may have processed the
+/// request. Must not be called on the control thread.
 HttpResponse sendHttpRequest(const HttpRequest &Request, Duration Timeout);
 
 } // namespace cyclamenwalk
--- a/packages/http/internal/blockinghttp.cpp
+++ b/packages/http/internal/blockinghttp.cpp
@@ -52,6 +52,7 @@
   if (ulfius_send_http_request(&RawRequest, &RawResponse) != U_OK) {
     HttpResponse NoResponse;
     NoResponse.m_Status = 0;
+    NoResponse.m_Failure = HttpFailure::Other;
     return NoResponse;
   }
   return toResponse(RawResponse);
--- a/packages/http/tests/multiplexhttp_test.cpp
+++ b/packages/http/tests/multiplexhttp_test.cpp
@@ -261,3 +261,14 @@
             307);
   EXPECT_EQ(Server.received("/other"), 0);
 }
+
+TEST(BlockingHttp, truncatedResponseIsNoResponse) {
+  ScriptedServer Server([](const ReceivedRequest &) -> ServerReaction {
+    return {"HTTP/1.1 503 Unavailable\r\nContent-Length: 9\r\n\r\n{}",
+            Ending::Close};
+  });
+  HttpResponse Response =
+      sendHttpRequest(makeRequest("POST", Server, "/order"), LongTimeout);
+  EXPECT_EQ(Response.m_Status, 0);
+  EXPECT_NE(Response.m_Failure, HttpFailure::None);
+}
