--- a/packages/http/tests/multiplexhttp_test.cpp
+++ b/packages/http/tests/multiplexhttp_test.cpp
@@ -45,10 +45,9 @@
   /// Opens \p Count connections to \p Server at the same time, which are idle
   /// afterwards.
   void openConnections(const ScriptedServer &Server, int Count) {
-    std::vector<std::future<HttpResponse>> Answers;
-    for (int I = 0; I < Count; ++I)
-      Answers.push_back(
-          start(makeRequest("POST", Server, "/open"), LongTimeout));
+    std::vector<std::future<HttpResponse>> Answers(Count);
+    for (auto &Answer : Answers)
+      Answer = start(makeRequest("POST", Server, "/open"), LongTimeout);
     for (auto &Answer : Answers)
       EXPECT_EQ(Answer.get().m_Status, 200);
   }
@@ -262,3 +261,14 @@
             307);
   EXPECT_EQ(Server.received("/other"), 0);
 }
+
+TEST(BlockingHttp, truncatedResponseIsNoResponse) {
+  ScriptedServer Server([](const ReceivedRequest &) -> ServerReaction {
+    return {"HTTP/1.1 503 Unavailable\r\nContent-Length: 9\r\n\r\n{}",
+            Ending::Close};
+  });
+  HttpResponse Response =
+      sendHttpRequest(makeRequest("POST", Server, "/order"), LongTimeout);
+  EXPECT_EQ(Response.m_Status, 0);
+  EXPECT_NE(Response.m_Failure, HttpFailure::None);
+}
