An entry says whether it knows all members, and when one has left

What callers saw: a cancel at an entry that had just started was answered 410, although the job ran. One cause: nothing told an entry that its list of members was not read yet.

The registry is complete once the rows were read, or a linked entry that is complete sent its whole list. A row that was seen while its entry was linked and is gone when it isn't shows that the entry has left.

Before, with the former rule: registry_test.cpp:174: Failure First->members().size() Which is: 2 [ FAILED ] RegistryTest.AnEntryWithoutLinkAndRowHasLeft Now: membership_test, all passed.

--- a/packages/membership/ientryregistry.h
+++ b/packages/membership/ientryregistry.h
@@ -15,6 +15,7 @@
   virtual ~IEntryRegistry() = default;
 
   /// Starts to renew the row of this entry and to read the rows of others.
+  /// \p Hook gets the members when they change, and when isComplete() does.
   virtual void start(ChangeHook Hook) = 0;
 
   /// Deletes the row of this entry and removes it from members(), so that
@@ -38,9 +39,19 @@
   /// while the store is down. Records that have not expired take precedence.
   virtual void mergeMembers(const std::vector<EntryAddress> &Members) = 0;
 
+  /// Records that the members which were merged last were all there are.
+  virtual void recordCompleteList() = 0;
+
+  /// Reads the rows at once, unless they were read recently.
+  virtual void refresh() = 0;
+
   /// All members including this entry, in ascending order of incarnation.
   virtual std::vector<EntryAddress> members() const = 0;
 
+  /// Whether members() has held all members there were at some time since the
+  /// start: the rows were read, or another entry sent a complete list.
+  virtual bool isComplete() const = 0;
+
   /// Whether the last renewal was written to the store.
   virtual bool isStoreAvailable() const = 0;
 };
--- a/packages/membership/internal/entryregistry.cpp
+++ b/packages/membership/internal/entryregistry.cpp
@@ -75,7 +75,13 @@
       });
 }
 
+void EntryRegistry::refresh() {
+  if (m_Timers.now() - m_ScannedAt >= m_Settings.m_MinScanInterval)
+    scanRows();
+}
+
 void EntryRegistry::scanRows() {
+  m_ScannedAt = m_Timers.now();
   std::weak_ptr<bool> Alive = m_Alive;
   m_Tables.scan(EntriesTable, "", [this, Alive](const ScanResult &Result) {
     if (Alive.expired() || Result.m_Status != StoreStatus::Ok)
@@ -83,6 +89,7 @@
     for (const KeyedRow &Row : Result.m_Rows)
       updateFromRow(Row);
     removeMissing(Result.m_Rows);
+    m_IsComplete = true;
     notifyIfChanged();
   });
 }
@@ -92,8 +99,14 @@
   if (!Decoded || Row.m_Key == m_Registration.m_Row.m_Address.m_Name)
     return;
   OtherEntry &Entry = m_Others[Row.m_Key];
-  if (Entry.m_IsLinked)
+  if (Entry.m_IsLinked) {
+    // Its removal then shows that the entry has left.
+    if (Entry.m_Row.m_Address == Decoded->m_Address) {
+      Entry.m_Row = *Decoded;
+      Entry.m_RowVersion = Row.m_Row.m_Version;
+    }
     return;
+  }
   bool HasChanged = Entry.m_RowVersion == 0 ||
                     Entry.m_Row.m_Renewals != Decoded->m_Renewals ||
                     Entry.m_Row.m_Address != Decoded->m_Address;
@@ -165,6 +178,11 @@
   notifyIfChanged();
 }
 
+void EntryRegistry::recordCompleteList() {
+  m_IsComplete = true;
+  notifyIfChanged();
+}
+
 void EntryRegistry::recordAddress(const EntryAddress &Address) {
   if (Address.m_Name == m_Registration.m_Row.m_Address.m_Name)
     return;
@@ -202,10 +220,14 @@
 
 void EntryRegistry::notifyIfChanged() {
   auto Members = members();
-  if (Members == m_NotifiedMembers)
+  bool IsNowComplete = m_IsComplete && !m_IsCompletionNotified;
+  if (Members == m_NotifiedMembers && !IsNowComplete)
     return;
   m_NotifiedMembers = Members;
-  logEvent(LogLevel::Info, "entries.changed", {{"count", Members.size()}});
+  m_IsCompletionNotified = m_IsComplete;
+  logEvent(
+      LogLevel::Info, "entries.changed",
+      {{"count", Members.size()}, {"complete", m_IsComplete ? "yes" : "no"}});
   if (m_OnChange)
     m_OnChange(m_NotifiedMembers);
 }
--- a/packages/membership/internal/entryregistry.h
+++ b/packages/membership/internal/entryregistry.h
@@ -42,7 +42,10 @@
   void recordLinkUp(const EntryAddress &Entry) override;
   void recordLinkDown(const EntryAddress &Entry) override;
   void mergeMembers(const std::vector<EntryAddress> &Members) override;
+  void recordCompleteList() override;
+  void refresh() override;
   std::vector<EntryAddress> members() const override;
+  bool isComplete() const override { return m_IsComplete; }
   bool isStoreAvailable() const override;
 
 private:
@@ -78,6 +81,9 @@
   /// Keyed by name, as the rows are.
   std::map<std::string, OtherEntry> m_Others;
   std::vector<EntryAddress> m_NotifiedMembers;
+  bool m_IsComplete = false;
+  bool m_IsCompletionNotified = false;
+  TimePoint m_ScannedAt;
   ChangeHook m_OnChange;
   TimerId m_Timer = 0;
   /// Expires with this object; replies of the store that arrive later are
--- a/packages/membership/internal/memberspread.cpp
+++ b/packages/membership/internal/memberspread.cpp
@@ -35,7 +35,8 @@
     (IsAgent ? m_Agents : m_Entries).insert(Other.m_Incarnation);
     const auto &Known = IsAgent ? m_SentPlacers : m_SentMembers;
     if (!Known.empty())
-      m_Links.send(Other.m_Incarnation, EntryList{Known});
+      m_Links.send(Other.m_Incarnation,
+                   EntryList{Known, !IsAgent && m_IsSentListComplete});
   }
 
   void peerDown(const Peer &Other) {
@@ -45,6 +46,18 @@
 
   void setMembers(std::vector<EntryAddress> Members) {
     m_Members = std::move(Members);
+    sendChangesSoon();
+  }
+
+  void setComplete() {
+    if (m_IsComplete)
+      return;
+    m_IsComplete = true;
+    sendChangesSoon();
+  }
+
+private:
+  void sendChangesSoon() {
     if (m_Timer != 0)
       return;
     m_Timer = m_Timers.subscribe(m_Settings.m_CollectDelay, [this] {
@@ -53,23 +66,33 @@
     });
   }
 
-private:
   void sendChanges() {
+    sendMembers();
+    sendPlacers();
+  }
+
+  void sendMembers() {
+    bool IsFirstCompleteList = m_IsComplete && !m_IsSentListComplete;
     auto NewMembers = difference(m_Members, m_SentMembers);
     m_SentMembers = m_Members;
-    if (!NewMembers.empty())
-      sendTo(m_Entries, NewMembers);
+    m_IsSentListComplete = m_IsComplete;
+    if (IsFirstCompleteList)
+      sendTo(m_Entries, {m_Members, true});
+    else if (!NewMembers.empty())
+      sendTo(m_Entries, {NewMembers, false});
+  }
+
+  void sendPlacers() {
     auto Placers = m_Settings.m_SelectPlacers(m_Members);
     if (Placers == m_SentPlacers)
       return;
     m_SentPlacers = std::move(Placers);
-    sendTo(m_Agents, m_SentPlacers);
+    sendTo(m_Agents, {m_SentPlacers, false});
   }
 
-  void sendTo(const std::set<Incarnation> &Receivers,
-              const std::vector<EntryAddress> &Entries) {
+  void sendTo(const std::set<Incarnation> &Receivers, const EntryList &List) {
     for (Incarnation Receiver : Receivers)
-      m_Links.send(Receiver, EntryList{Entries});
+      m_Links.send(Receiver, List);
   }
 
   const Settings m_Settings;
@@ -81,6 +104,8 @@
   /// What the linked processes know.
   std::vector<EntryAddress> m_SentMembers;
   std::vector<EntryAddress> m_SentPlacers;
+  bool m_IsComplete = false;
+  bool m_IsSentListComplete = false;
   TimerId m_Timer = 0;
 };
 
@@ -92,6 +117,7 @@
 
 void MemberSpread::peerUp(const Peer &Other) { m_Impl->peerUp(Other); }
 void MemberSpread::peerDown(const Peer &Other) { m_Impl->peerDown(Other); }
+void MemberSpread::setComplete() { m_Impl->setComplete(); }
 void MemberSpread::setMembers(std::vector<EntryAddress> Members) {
   m_Impl->setMembers(std::move(Members));
 }
--- a/packages/membership/memberspread.h
+++ b/packages/membership/memberspread.h
@@ -31,6 +31,9 @@
   /// Replaces the members, this entry included.
   void setMembers(std::vector<EntryAddress> Members);
 
+  /// From now on the members that were set are all there are.
+  void setComplete();
+
 private:
   class Impl;
   std::unique_ptr<Impl> m_Impl;
--- a/packages/membership/tests/memberspread_test.cpp
+++ b/packages/membership/tests/memberspread_test.cpp
@@ -47,3 +47,22 @@
   ASSERT_EQ(Lists.size(), 1u) << "the placers have not changed";
   EXPECT_EQ(Lists[0].second.m_Entries.size(), 1u);
 }
+
+TEST(MemberSpread, SaysWhetherItsListIsComplete) {
+  SpreadPair Pair;
+  Pair.m_Spread.setMembers({address("entry-1", 1)});
+  Pair.m_Timers.advance(seconds(1));
+  Pair.m_Spread.peerUp(SpreadPair::peer("entry", 100, Role::Entry));
+  EXPECT_FALSE(Pair.m_Links.sent<EntryList>().back().second.m_IsComplete);
+  Pair.m_Spread.setComplete();
+  Pair.m_Timers.advance(seconds(1));
+  EXPECT_TRUE(Pair.m_Links.sent<EntryList>().back().second.m_IsComplete);
+  EXPECT_EQ(Pair.m_Links.sent<EntryList>().back().second.m_Entries.size(), 1u);
+  Pair.m_Spread.setMembers({address("entry-1", 1), address("entry-2", 2)});
+  Pair.m_Timers.advance(seconds(1));
+  EXPECT_FALSE(Pair.m_Links.sent<EntryList>().back().second.m_IsComplete)
+      << "a difference";
+  Pair.m_Spread.peerUp(SpreadPair::peer("late", 101, Role::Entry));
+  EXPECT_TRUE(Pair.m_Links.sent<EntryList>().back().second.m_IsComplete);
+  EXPECT_EQ(Pair.m_Links.sent<EntryList>().back().second.m_Entries.size(), 2u);
+}
--- a/packages/membership/tests/registry_test.cpp
+++ b/packages/membership/tests/registry_test.cpp
@@ -138,3 +138,50 @@
   advance(seconds(30));
   EXPECT_EQ(First->members().size(), 2u);
 }
+
+/// An entry that had just started answered for members that it didn't know.
+TEST_F(RegistryTest, IsCompleteOnceTheRowsWereRead) {
+  m_Platform.m_Fault = StoreFake::Fault::Down;
+  auto First = startRegistry("entry-1", 1);
+  First->mergeMembers({address("entry-2", 2)});
+  EXPECT_FALSE(First->isComplete());
+  m_Platform.m_Fault = StoreFake::Fault::None;
+  advance(seconds(2));
+  EXPECT_TRUE(First->isComplete());
+}
+
+TEST_F(RegistryTest, IsCompleteByTheListOfAnotherEntry) {
+  m_Platform.m_Fault = StoreFake::Fault::Down;
+  auto First = startRegistry("entry-1", 1);
+  First->mergeMembers({address("entry-2", 2)});
+  First->recordCompleteList();
+  EXPECT_TRUE(First->isComplete());
+}
+
+/// An entry that ended gracefully was a member for the whole lease time, if its
+/// link had come up before its row was read.
+TEST_F(RegistryTest, AnEntryWithoutLinkAndRowHasLeft) {
+  auto First = startRegistry("entry-1", 1);
+  First->recordLinkUp(address("entry-2", 2));
+  auto Second = startRegistry("entry-2", 2);
+  advance(seconds(3));
+  Second->leave();
+  Second.reset();
+  m_Platform.answerAll();
+  First->recordLinkDown(address("entry-2", 2));
+  EXPECT_EQ(First->members().size(), 2u) << "a lost link proves nothing";
+  advance(seconds(2));
+  EXPECT_EQ(First->members().size(), 1u);
+}
+
+TEST_F(RegistryTest, RefreshReadsTheRowsAtMostOnceASecond) {
+  auto First = startRegistry("entry-1", 1);
+  auto Second = startRegistry("entry-2", 2);
+  First->refresh();
+  m_Platform.answerAll();
+  EXPECT_EQ(First->members().size(), 1u);
+  m_Timers.advance(seconds(1));
+  First->refresh();
+  m_Platform.answerAll();
+  EXPECT_EQ(First->members().size(), 2u);
+}
--- a/packages/membership/types/entryrow.h
+++ b/packages/membership/types/entryrow.h
@@ -31,6 +31,8 @@
   Duration m_LeaseTimeout = seconds(10);
   /// The row of an entry is deleted when it is not renewed for this time.
   Duration m_DeletionDelay = seconds(60);
+  /// The rows are read no more often than this.
+  Duration m_MinScanInterval = seconds(1);
 };
 
 } // namespace cyclamenwalk
--- a/packages/message/types/messages.h
+++ b/packages/message/types/messages.h
@@ -130,6 +130,8 @@
 /// be new to it.
 struct EntryList {
   std::vector<EntryAddress> m_Entries;
+  /// Whether these are all members there are, by what the sender knows.
+  bool m_IsComplete = false;
 };
 
 /// The highest configuration version that the sender holds.
--- a/packages/protocol/internal/fields.h
+++ b/packages/protocol/internal/fields.h
@@ -51,7 +51,7 @@
         Value.m_FailureDomain, Value.m_ProcessorMilliCores);
 }
 template <typename Call> void visitFields(EntryList &Value, Call &&Visit) {
-  Visit(Value.m_Entries);
+  Visit(Value.m_Entries, Value.m_IsComplete);
 }
 template <typename Call>
 void visitFields(ConfigurationNotice &Value, Call &&Visit) {
