--- a/packages/membership/tests/mocks/linksfake.h
+++ b/packages/membership/tests/mocks/linksfake.h
@@ -3,6 +3,7 @@
 
 #include "membership/ilinks.h"
 
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -12,7 +13,9 @@
 class LinksFake final : public ILinks {
 public:
   void setHooks(Hooks) override {}
-  void connect(const std::string &) override {}
+  void connect(const std::string &Address) override {
+    m_Connected.push_back(Address);
+  }
   void send(Incarnation To, Message Body) override {
     m_Sent.emplace_back(To, std::move(Body));
   }
@@ -29,6 +32,7 @@
   }
 
   std::vector<std::pair<Incarnation, Message>> m_Sent;
+  std::vector<std::string> m_Connected;
   std::vector<Incarnation> m_Disconnected;
 };
 
