--- a/packages/membership/tests/mocks/linksfake.h
+++ b/packages/membership/tests/mocks/linksfake.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -14,7 +15,9 @@
 class LinksFake final : public ILinks {
 public:
   void setHooks(Hooks) override {}
-  void connect(const std::string &) override {}
+  void connect(const std::string &Address) override {
+    m_Connected.push_back(Address);
+  }
   void send(Incarnation To, Message Body) override {
     m_Sent.emplace_back(To, std::move(Body));
   }
@@ -40,6 +43,7 @@
   /// Peers that are not listed are always proven alive.
   std::map<Incarnation, TimePoint> m_ProvenAliveAt;
   std::map<Incarnation, TimePoint> m_CallersAliveAt;
+  std::vector<std::string> m_Connected;
   std::vector<Incarnation> m_Disconnected;
 
 private:
--- a/packages/worker/internal/backendsession.cpp
+++ b/packages/worker/internal/backendsession.cpp
@@ -300,7 +300,7 @@
   bool IsCut = Limit < m_Timers.now() + m_Settings.m_Lease;
   if (std::exchange(m_IsLeaseCut, IsCut) != IsCut)
     logEvent(LogLevel::Info, IsCut ? "lease.cut" : "lease.restored",
-             {{"instance", m_Announcement.m_Instance},
+             {{"instance", announcement().m_Instance},
               {"entry", First ? toString(First->m_Job->m_Entry) : ""},
               {"task", First ? First->m_Id.m_Task : ""},
               {"lease_ms", toMilliseconds(std::min(Limit - m_Timers.now(),
--- a/packages/worker/types/backend.h
+++ b/packages/worker/types/backend.h
@@ -131,6 +131,8 @@
 struct WorkerSettings {
   /// How long runs continue without a renewal by this agent.
   Duration m_Lease = milliseconds(650);
+  /// The server shortens longer leases to this.
+  Duration m_MaxLease = milliseconds(1000);
   /// Runs end at the latest this long after their entry and its callers were
   /// last proven alive. Together with the drift of the server's clock and the
   /// duration of a stop, it is shorter than the time after which callers send a
