--- a/packages/forward/internal/cancelledjobs.h
+++ b/packages/forward/internal/cancelledjobs.h
@@ -31,6 +31,9 @@
   void receive(Incarnation Agent, Message &Body) override {
     m_Jobs.receive(Agent, Body);
   }
+  bool isStopping(const std::string &Name) const override {
+    return m_Jobs.isStopping(Name);
+  }
   bool hasWorkers() const override { return m_Jobs.hasWorkers(); }
   std::vector<ServiceRoom> rooms() const override { return m_Jobs.rooms(); }
 
--- a/packages/worker/internal/serverlink.cpp
+++ b/packages/worker/internal/serverlink.cpp
@@ -15,7 +15,7 @@
       m_Timers(Dependencies.m_Timers), m_Hooks(std::move(Callbacks)),
       m_Token(Dependencies.m_MakeFencingToken()),
       // An earlier agent may have renewed the lease until now.
-      m_LeaseEndsAt(m_Timers.now() + Settings.m_MaxLease),
+      m_LeaseEndsAt(m_Timers.now() + Settings.m_Lease),
       m_LastReplyAt(m_Timers.now()) {}
 
 ServerLink::~ServerLink() { m_Timers.cancel(m_Timer); }
