--- a/packages/worker/internal/backendsession.cpp
+++ b/packages/worker/internal/backendsession.cpp
@@ -13,15 +13,6 @@
 
 /// A stop order is repeated after this time if the run has not ended.
 constexpr Duration StopRepeatPeriod = milliseconds(100);
-/// Weight of one run in the running mean.
-constexpr double SlownessWeight = 0.08;
-constexpr double MinRunTimeRatio = 0.2;
-constexpr double MaxRunTimeRatio = 8;
-/// A run is overdue from this multiple of its expected time on.
-constexpr double OverdueRatio = 2;
-/// Weight of the running mean when it is averaged with the overdue runs, as a
-/// number of runs.
-constexpr double MeanSlownessWeight = 10;
 constexpr double Percent = 100;
 constexpr std::size_t MaxFailedJobs = 1000;
 /// Requests that end runs before their start, as named in the log.
@@ -29,13 +20,6 @@
 constexpr std::string_view QueueTimeout = "queue_timeout";
 constexpr std::string_view StopRequest = "stop_request";
 
-double runTimeRatio(Duration Actual, Duration Expected) {
-  double Quotient =
-      static_cast<double>(Actual.count()) /
-      static_cast<double>(std::max<Duration::rep>(1, Expected.count()));
-  return std::clamp(Quotient, MinRunTimeRatio, MaxRunTimeRatio);
-}
-
 const char *nameOf(RunOutcome Outcome) {
   switch (Outcome) {
   case RunOutcome::Succeeded:
@@ -352,7 +336,7 @@
   if (Ended.m_StartedAt != TimePoint{})
     RunTime = m_Timers.now() - Ended.m_StartedAt;
   if (Outcome == RunOutcome::Succeeded)
-    updateSlowness(Ended, RunTime);
+    m_Slowness.recordSuccess(Ended, RunTime);
   updateHealth(Ended, Outcome);
   logEvent(LogLevel::Info, "run.ended",
            {{"task", Ended.m_Id.m_Task},
@@ -376,29 +360,13 @@
     m_FailedJobs.clear();
 }
 
-void BackendSession::updateSlowness(const Run &Ended, Duration RunTime) {
-  double Ratio = runTimeRatio(RunTime, Ended.m_Job->m_ExpectedRunTime);
-  m_Slowness += SlownessWeight * (Ratio - m_Slowness);
-}
-
-/// The running mean, averaged with the overdue runs in progress.
 double BackendSession::slowness() const {
-  double Sum = MeanSlownessWeight * m_Slowness;
-  double Count = MeanSlownessWeight;
-  for (const RunPointer &Candidate : m_Runs.runs()) {
-    if (Candidate->m_State != RunState::Running)
-      continue;
-    double Ratio = runTimeRatio(m_Timers.now() - Candidate->m_StartedAt,
-                                Candidate->m_Job->m_ExpectedRunTime);
-    if (Ratio < OverdueRatio * m_Slowness)
-      continue;
-    Sum += Ratio;
-    ++Count;
-  }
-  return Sum / Count;
+  return m_Slowness.current(m_Runs.runs(), m_Timers.now());
 }
 
-bool BackendSession::hasOverdueRuns() const { return slowness() > m_Slowness; }
+bool BackendSession::hasOverdueRuns() const {
+  return slowness() > m_Slowness.mean();
+}
 
 void BackendSession::receiveLists(const ConfirmedReply &Confirmed) {
   const HoldReply &Reply = Confirmed.m_Reply;
--- a/packages/worker/internal/backendsession.h
+++ b/packages/worker/internal/backendsession.h
@@ -5,6 +5,7 @@
 #include "worker/internal/runtable.h"
 #include "worker/internal/serveridentity.h"
 #include "worker/internal/serverlink.h"
+#include "worker/internal/slowness.h"
 
 #include <set>
 
@@ -109,7 +110,6 @@
   void detectMissingRuns(const ConfirmedReply &Confirmed,
                          const std::set<RunId> &Listed);
   void updateHealth(const Run &Ended, RunOutcome Outcome);
-  void updateSlowness(const Run &Ended, Duration RunTime);
   double slowness() const;
 
   ServerIdentity m_Identity;
@@ -129,8 +129,7 @@
   std::set<JobId> m_FailedJobs;
   /// Runs in progress that this agent did not start.
   std::vector<RunId> m_Orphans;
-  /// Running mean of actual over expected run times.
-  double m_Slowness = 1;
+  Slowness m_Slowness;
 };
 
 } // namespace cyclamenwalk
