--- a/packages/worker/tests/workerevidence_test.cpp
+++ b/packages/worker/tests/workerevidence_test.cpp
@@ -39,8 +39,10 @@
   EXPECT_EQ(Results[0].m_RunOutcome, RunOutcome::NotStarted);
   place(makePlacement(1, 2));
   ASSERT_EQ(takeResults().size(), 1u) << "accepted while not reached";
-  for (int I = 0; I < 30; ++I) {
-    m_Timers.advance(milliseconds(30));
+  constexpr Duration Step = milliseconds(30);
+  Duration MinLease = WorkerSettings{}.m_Lease - Step;
+  for (Duration Passed = Step; Passed < MinLease; Passed += Step) {
+    m_Timers.advance(Step);
     m_Control.answerHolds(OrderOutcome::NotSent);
   }
   EXPECT_TRUE(takeResults().empty()) << "the lease has not lapsed";
