No entry runs a job only by the word of every member

The entry asked whoever it was linked with, nobody if there was no link, and took silence of 500 ms for a no. GET of a job that another entry runs was answered 410, "no such job exists".

JobLookup takes the place of the code in platformentry.cpp. A search is open until an entry has the job (200), every member has denied it and the members are known (410), or the time is up (504, code 3007, outcome unknown). Entries that are linked meanwhile are asked as well, one that is lost is asked again when it is back, and a member without a link is asked through another entry, since small entries have no links to each other. A cancellation goes on after the first 200, as a job that was sent twice may run at another entry too. An entry that was asked to cancel a job refuses it for 10 s (2014, did not run), wherever it comes from: a forwarded job, or one that its caller sent just before.

--- a/packages/message/types/messages.h
+++ b/packages/message/types/messages.h
@@ -150,13 +150,23 @@
   std::string m_Text;
 };
 
-/// Entry to entry: cancel the job with this name if the receiver owns it.
-struct CancelJobByName {
+/// Entry to entry: does the asked entry run the job with this name? An entry
+/// that is not the asked one passes the message on to it.
+struct FindJob {
+  /// Assigned by the asking entry.
+  std::uint64_t m_Request = 0;
+  Incarnation m_Asker;
+  Incarnation m_Asked;
   std::string m_Name;
+  /// Whether the job is to be cancelled, and refused if it arrives later.
+  bool m_Cancels = false;
 };
 
-struct CancelJobByNameReply {
-  std::string m_Name;
+/// The word of the asked entry, passed on to the asking one in the same way.
+struct FindJobReply {
+  std::uint64_t m_Request = 0;
+  Incarnation m_Asker;
+  Incarnation m_Asked;
   bool m_WasFound = false;
 };
 
@@ -171,7 +181,7 @@
                  CreditWithdraw, Demand, Start, StartRefused, TaskDone, StopJob,
                  EntryList, ConfigurationNotice, ConfigurationRequest,
                  ConfigurationBody, WorkerReport, PlaceTasks, RunResults,
-                 DeadlineMissForecast, CancelJobByName, CancelJobByNameReply,
+                 DeadlineMissForecast, FindJob, FindJobReply,
                  ReportInterval, PlacerState, ForwardJob, ForwardedJobAnswer,
                  CancelForwardedJob>;
 
