--- a/review/harness.py
+++ b/review/harness.py
@@ -3,7 +3,7 @@
 Starts entries and agents with the commands and settings templates of the deploy
 file on loopback ports. Store, runners and clients are small stand-ins in this
 process that follow the platform's protocol. Everything is recorded with its
-time in record.txt beside the case.
+time in record.txt beside the case, or in RECORD_FOLDER.
 """
 
 import base64
@@ -26,7 +26,8 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 REPOSITORY = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
-PROGRAM = "target/bin/cyclamenwalk-site"
+BUILD_FOLDER = os.environ.get("BUILD_FOLDER", "target")
+PROGRAM = os.path.join(BUILD_FOLDER, "bin/cyclamenwalk-site")
 HOST = "127.0.0.1"
 
 # Bounds of the sites' pages, in seconds.
@@ -531,7 +532,7 @@
             values["listen-addrs.frontend"] = "%s:%d" % (HOST, ports["front"])
             values["listen-addrs.readiness"] = "%s:%d" % (HOST, ports["ready"])
         with open(os.path.join(REPOSITORY, template)) as file:
-            text = file.read()
+            text = file.read().replace("target/", BUILD_FOLDER + "/")
         return re.sub(r"{{([^}]*)}}", lambda found: values[found.group(1)], text)
 
     def start_program(self, name):
@@ -708,7 +709,8 @@
 
     Exits with 1 if there were any, 0 if not, 2 if the case could not run.
     """
-    folder = os.path.dirname(os.path.abspath(case_file))
+    folder = os.environ.get(
+        "RECORD_FOLDER", os.path.dirname(os.path.abspath(case_file)))
     site = Site(folder, **site_options)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     status = 2
