--- a/packages/core/types/metric.h
+++ b/packages/core/types/metric.h
@@ -40,6 +40,9 @@
   StoreReads,
   StoreWrites,
   StoreErrors,
+  OrdersUnanswered,
+  OrdersNotSent,
+  OrderRepeatsPrevented,
   Count
 };
 
--- a/packages/membership/tests/mocks/linksfake.h
+++ b/packages/membership/tests/mocks/linksfake.h
@@ -3,6 +3,9 @@
 
 #include "membership/ilinks.h"
 
+#include <algorithm>
+#include <map>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -12,11 +15,19 @@
 class LinksFake final : public ILinks {
 public:
   void setHooks(Hooks) override {}
-  void connect(const std::string &) override {}
+  void connect(const std::string &Address) override {
+    m_Connected.push_back(Address);
+  }
   void send(Incarnation To, Message Body) override {
     m_Sent.emplace_back(To, std::move(Body));
   }
   void disconnect(Incarnation To) override { m_Disconnected.push_back(To); }
+  TimePoint provenAliveAt(Incarnation Peer) const override {
+    return findOr(m_ProvenAliveAt, Peer);
+  }
+  TimePoint callersAliveAt(Incarnation Peer) const override {
+    return std::min(findOr(m_CallersAliveAt, Peer), provenAliveAt(Peer));
+  }
   bool isFlushed() const override { return true; }
 
   /// The sent messages of one type, in order, with their receivers.
@@ -29,7 +40,19 @@
   }
 
   std::vector<std::pair<Incarnation, Message>> m_Sent;
+  /// Peers that are not listed are always proven alive.
+  std::map<Incarnation, TimePoint> m_ProvenAliveAt;
+  std::map<Incarnation, TimePoint> m_CallersAliveAt;
+  std::vector<std::string> m_Connected;
   std::vector<Incarnation> m_Disconnected;
+
+private:
+  static TimePoint findOr(const std::map<Incarnation, TimePoint> &Times,
+                          Incarnation Peer) {
+    auto It = Times.find(Peer);
+    return It == Times.end() ? TimePoint::max() - std::chrono::hours(1)
+                             : It->second;
+  }
 };
 
 } // namespace cyclamenwalk
--- a/packages/message/types/messages.h
+++ b/packages/message/types/messages.h
@@ -41,6 +41,11 @@
   /// Requests that the receiver replaces its connection, because nothing
   /// arrives from it.
   bool m_IsNotReceiving = false;
+  /// Requests a heartbeat at once, for the echo that it carries.
+  bool m_RequestsReply = false;
+  /// The sequence number of the last sequenced message sent before, so that the
+  /// receiver notices a lost one.
+  std::uint64_t m_LastSequence = 0;
 };
 
 /// Closes the link.
@@ -130,6 +135,8 @@
 /// be new to it.
 struct EntryList {
   std::vector<EntryAddress> m_Entries;
+  /// Whether these are all members there are, by what the sender knows.
+  bool m_IsComplete = false;
 };
 
 /// The highest configuration version that the sender holds.
@@ -148,13 +155,23 @@
   std::string m_Text;
 };
 
-/// Entry to entry: cancel the job with this name if the receiver owns it.
-struct CancelJobByName {
+/// Entry to entry: does the asked entry run the job with this name? An entry
+/// that is not the asked one passes the message on to it.
+struct FindJob {
+  /// Assigned by the asking entry.
+  std::uint64_t m_Request = 0;
+  Incarnation m_Asker;
+  Incarnation m_Asked;
   std::string m_Name;
+  /// Whether the job is to be cancelled, and refused if it arrives later.
+  bool m_Cancels = false;
 };
 
-struct CancelJobByNameReply {
-  std::string m_Name;
+/// The word of the asked entry, passed on to the asking one in the same way.
+struct FindJobReply {
+  std::uint64_t m_Request = 0;
+  Incarnation m_Asker;
+  Incarnation m_Asked;
   bool m_WasFound = false;
 };
 
@@ -169,7 +186,7 @@
                  CreditWithdraw, Demand, Start, StartRefused, TaskDone, StopJob,
                  EntryList, ConfigurationNotice, ConfigurationRequest,
                  ConfigurationBody, WorkerReport, PlaceTasks, RunResults,
-                 DeadlineMissForecast, CancelJobByName, CancelJobByNameReply,
+                 DeadlineMissForecast, FindJob, FindJobReply,
                  ReportInterval, PlacerState, ForwardJob, ForwardedJobAnswer,
                  CancelForwardedJob>;
 
@@ -185,6 +202,16 @@
   std::uint64_t m_Sequence = 0;
   /// The highest sequence number received in order from the receiver.
   std::uint64_t m_Acknowledged = 0;
+  /// When the message was first sent, by a steady clock of the sender; opaque
+  /// to the receiver. In whole milliseconds, like the other times here.
+  Duration m_SentAt{};
+  /// The latest m_SentAt that the sender had received from the receiver; zero
+  /// for none. Proves to the receiver that the sender was alive at that time or
+  /// later.
+  Duration m_Echo{};
+  /// The longest time for which one of the processes on whose behalf the sender
+  /// acts had not been proven alive when the message was first sent.
+  Duration m_CallersSilence{};
   Message m_Message;
 };
 
--- a/packages/protocol/internal/fields.h
+++ b/packages/protocol/internal/fields.h
@@ -12,7 +12,8 @@
         Value.m_ProcessorMilliCores, Value.m_IsReply);
 }
 template <typename Call> void visitFields(Heartbeat &Value, Call &&Visit) {
-  Visit(Value.m_RequestsResend, Value.m_IsNotReceiving);
+  Visit(Value.m_RequestsResend, Value.m_IsNotReceiving, Value.m_RequestsReply,
+        Value.m_LastSequence);
 }
 template <typename Call> void visitFields(Goodbye &, Call &&Visit) { Visit(); }
 template <typename Call> void visitFields(BackendState &Value, Call &&Visit) {
@@ -51,7 +52,7 @@
         Value.m_FailureDomain, Value.m_ProcessorMilliCores);
 }
 template <typename Call> void visitFields(EntryList &Value, Call &&Visit) {
-  Visit(Value.m_Entries);
+  Visit(Value.m_Entries, Value.m_IsComplete);
 }
 template <typename Call>
 void visitFields(ConfigurationNotice &Value, Call &&Visit) {
@@ -97,15 +98,16 @@
   Visit(Value.m_Job, Value.m_Index, Value.m_Run);
 }
 template <typename Call>
-void visitFields(CancelJobByName &Value, Call &&Visit) {
-  Visit(Value.m_Name);
+void visitFields(FindJob &Value, Call &&Visit) {
+  Visit(Value.m_Request, Value.m_Asker, Value.m_Asked, Value.m_Name,
+        Value.m_Cancels);
 }
 template <typename Call> void visitFields(ReportInterval &Value, Call &&Visit) {
   Visit(Value.m_Period);
 }
 template <typename Call>
-void visitFields(CancelJobByNameReply &Value, Call &&Visit) {
-  Visit(Value.m_Name, Value.m_WasFound);
+void visitFields(FindJobReply &Value, Call &&Visit) {
+  Visit(Value.m_Request, Value.m_Asker, Value.m_Asked, Value.m_WasFound);
 }
 template <typename Call> void visitFields(ServiceRoom &Value, Call &&Visit) {
   Visit(Value.m_Service, Value.m_FreeMilliCores, Value.m_CapacityMilliCores,
--- a/packages/worker/internal/backendsession.cpp
+++ b/packages/worker/internal/backendsession.cpp
@@ -1,5 +1,7 @@
 #include "worker/internal/backendsession.h"
 
+#include "worker/internal/runprogress.h"
+
 #include "core/log.h"
 
 #include <algorithm>
@@ -11,50 +13,12 @@
 
 /// A stop order is repeated after this time if the run has not ended.
 constexpr Duration StopRepeatPeriod = milliseconds(100);
-/// Weight of one run in the running mean.
-constexpr double SlownessWeight = 0.08;
-constexpr double MinRunTimeRatio = 0.2;
-constexpr double MaxRunTimeRatio = 8;
-/// A run is overdue from this multiple of its expected time on.
-constexpr double OverdueRatio = 2;
-/// Weight of the running mean when it is averaged with the overdue runs, as a
-/// number of runs.
-constexpr double MeanSlownessWeight = 10;
 constexpr double Percent = 100;
-constexpr int FullProgress = 100;
-/// A run has stalled when it makes no progress for this time, or for this
-/// fraction of its expected time if that is longer.
-constexpr Duration MinStallTimeout = milliseconds(140);
-constexpr int StallTimeoutDivisor = 4;
 constexpr std::size_t MaxFailedJobs = 1000;
-/// Before this time a run's progress is too coarse for a forecast.
-constexpr Duration MinForecastTime = milliseconds(200);
-
-double runTimeRatio(Duration Actual, Duration Expected) {
-  double Quotient =
-      static_cast<double>(Actual.count()) /
-      static_cast<double>(std::max<Duration::rep>(1, Expected.count()));
-  return std::clamp(Quotient, MinRunTimeRatio, MaxRunTimeRatio);
-}
-
-RunEvent eventOf(OrderOutcome Outcome) {
-  switch (Outcome) {
-  case OrderOutcome::Done:
-    return RunEvent::Accepted;
-  case OrderOutcome::Fenced:
-  case OrderOutcome::LeaseExpired:
-    return RunEvent::Fenced;
-  case OrderOutcome::StaleRun:
-    return RunEvent::Stale;
-  case OrderOutcome::Refused:
-  case OrderOutcome::WrongInstance:
-  case OrderOutcome::Unreachable:
-    return RunEvent::Refused;
-  case OrderOutcome::Unanswered:
-    return RunEvent::Unanswered;
-  }
-  return RunEvent::Unanswered;
-}
+/// Requests that end runs before their start, as named in the log.
+constexpr std::string_view DropRequest = "returned_to_entry";
+constexpr std::string_view QueueTimeout = "queue_timeout";
+constexpr std::string_view StopRequest = "stop_request";
 
 const char *nameOf(RunOutcome Outcome) {
   switch (Outcome) {
@@ -84,28 +48,29 @@
                                WorkerSettings Settings,
                                const WorkerDependencies &Dependencies,
                                Hooks Callbacks)
-    : m_Announcement(std::move(Announcement)), m_Settings(Settings),
+    : m_Identity(std::move(Announcement)), m_Settings(Settings),
       m_Timers(Dependencies.m_Timers), m_Metrics(Dependencies.m_Metrics),
       m_Hooks(std::move(Callbacks)),
       m_Chart(bindSession(Dependencies.m_Charts)),
       m_RunChart(bindRun(Dependencies.m_Charts)),
-      m_Runs(m_Announcement.m_Capacity),
-      m_Health(m_Announcement.m_Instance, Dependencies.m_MakeFailureTest(),
+      m_Runs(announcement().m_Capacity),
+      m_Health(announcement().m_Instance, Dependencies.m_MakeFailureTest(),
                Dependencies.m_Charts, m_Timers, [this] { startWaitingRuns(); }),
       m_Server(
-          m_Announcement.m_Address, m_Announcement.m_Instance, Settings,
+          announcement().m_Address, announcement().m_Instance, Settings,
           Dependencies,
           {[this](const ConfirmedReply &Confirmed) { receiveLists(Confirmed); },
-           [this](const std::string &Reason) { markLost(Reason); },
-           [this] { return m_Runs.activeCount() > 0; }}) {
+           [this](const ServerEvidence &E) { receiveEvidence(E); },
+           [this] { return m_Runs.activeCount() > 0; },
+           [this] { return leaseLimit(); }}) {
   m_Context.m_State = m_Chart.initial();
   logEvent(LogLevel::Info, "backend.found",
-           {{"instance", m_Announcement.m_Instance},
-            {"service", m_Announcement.m_Service},
-            {"kind", m_Announcement.m_Kind},
-            {"rack", m_Announcement.m_Rack},
-            {"millicores", m_Announcement.m_Capacity.m_MilliCores},
-            {"memory_mb", m_Announcement.m_Capacity.m_MemoryMb},
+           {{"instance", announcement().m_Instance},
+            {"service", announcement().m_Service},
+            {"kind", announcement().m_Kind},
+            {"rack", announcement().m_Rack},
+            {"millicores", announcement().m_Capacity.m_MilliCores},
+            {"memory_mb", announcement().m_Capacity.m_MemoryMb},
             {"token", m_Server.token()}});
   m_Server.requestLists();
 }
@@ -121,6 +86,9 @@
       Charts.chart("session"), {},
       {{"startRenewal", [this](Context &) { m_Server.startRenewal(); }},
        {"stopOrphans", [this](Context &) { stopOrphans(); }},
+       {"stopRenewal", [this](Context &) { m_Server.stopRenewal(); }},
+       {"adoptLaterLife", [this](Context &) { m_Server.adoptLaterLife(); }},
+       {"stopAllRuns", [this](Context &) { stopAllRuns(); }},
        {"dropWaitingRuns", [this](Context &) { dropWaitingRuns(); }},
        {"markRunsLost", [this](Context &) { markRunsLost(); }}});
 }
@@ -149,14 +117,17 @@
   auto StateIndex = static_cast<std::size_t>(m_Context.m_State);
   logEvent(
       LogLevel::Info, "backend.state_changed",
-      {{"instance", m_Announcement.m_Instance},
+      {{"instance", announcement().m_Instance},
        {"state", std::string(ChartNames<SessionState>::Values[StateIndex])},
+       {"evidence", m_LastEvidence},
        {"runs", m_Runs.size()},
        {"token", m_Server.token()}});
   m_Hooks.m_Changed();
 }
 
-void BackendSession::fireRun(const RunPointer &Target, RunEvent Event) {
+void BackendSession::fireRun(const RunPointer &Target, RunEvent Event,
+                             std::string_view Evidence) {
+  Target->m_EndEvidence = Evidence;
   bool UsedResources = usesResources(*Target);
   m_RunChart.fire(*Target, Event);
   bool UsesResources = usesResources(*Target);
@@ -174,39 +145,74 @@
   m_Hooks.m_RunEnded(*Target);
 }
 
-void BackendSession::updateAnnouncement(
+void BackendSession::receiveAnnouncement(
     const BackendAnnouncement &Announcement) {
-  bool IsOutdated = Announcement.m_Sequence < m_Announcement.m_Sequence;
-  if (IsOutdated)
+  bool IsClosing = m_Context.m_State == SessionState::Closing;
+  AnnouncementUse Use = m_Identity.receive(Announcement, m_Runs.size() > 0,
+                                           IsClosing, m_Timers.now());
+  if (Use == AnnouncementUse::Unconfirmed)
+    return confirmOtherLife(Announcement);
+  if (Use != AnnouncementUse::Adopted)
     return;
-  m_Announcement = Announcement;
   m_Runs.setCapacity(Announcement.m_Capacity);
   if (Announcement.m_IsLeaving)
     leave();
 }
 
+/// Asks the server whether it is in the life that was announced.
+void BackendSession::confirmOtherLife(const BackendAnnouncement &Announcement) {
+  logEvent(LogLevel::Warning, "announcement.other_life",
+           {{"instance", Announcement.m_Instance},
+            {"service", Announcement.m_Service},
+            {"started_at_ms", toMilliseconds(Announcement.m_InstanceStartedAt)},
+            {"known_ms", toMilliseconds(m_Identity.startTime())}});
+  receiveEvidence(LaterAnnouncement{});
+  m_Server.requestLists();
+}
+
 void BackendSession::leave() { fire(SessionEvent::Leave); }
 
-void BackendSession::markLost(const std::string &Reason) {
-  if (isGone())
+void BackendSession::receiveEvidence(const ServerEvidence &Evidence) {
+  auto Event = judge(m_Identity.known(), Evidence);
+  if (!Event || isGone())
     return;
-  logEvent(LogLevel::Warning, "backend.lost",
-           {{"instance", m_Announcement.m_Instance},
-            {"reason", Reason},
-            {"runs", m_Runs.size()}});
-  fire(SessionEvent::BackendLost);
+  m_LastEvidence = nameOf(Evidence);
+  if (*Event == SessionEvent::BackendLost)
+    logEvent(LogLevel::Warning, "backend.lost",
+             {{"instance", announcement().m_Instance},
+              {"evidence", m_LastEvidence},
+              {"runs", m_Runs.size()}});
+  fire(*Event);
+  endWhenDrained();
+}
+
+void BackendSession::receiveEvidence(const RunPointer &About,
+                                     const RunEvidence &Evidence) {
+  if (auto Event = judge(*About, Evidence))
+    fireRun(About, *Event, nameOf(Evidence));
+}
+
+/// Ends a session that closes once all of its runs are proven over.
+void BackendSession::endWhenDrained() {
+  if (m_Context.m_State == SessionState::Closing && m_Runs.size() == 0)
+    fire(SessionEvent::RunsOver);
+}
+
+void BackendSession::stopAllRuns() {
+  for (const RunPointer &Candidate : m_Runs.runs())
+    fireRun(Candidate, RunEvent::Stop, m_LastEvidence);
 }
 
 void BackendSession::markRunsLost() {
   m_Server.close();
   for (const RunPointer &Lost : m_Runs.runs())
-    fireRun(Lost, RunEvent::BackendLost);
+    fireRun(Lost, RunEvent::BackendLost, m_LastEvidence);
 }
 
 /// Returns the waiting runs to their entries; other runs ignore the event.
 void BackendSession::dropWaitingRuns() {
   for (const RunPointer &Candidate : m_Runs.runs())
-    fireRun(Candidate, RunEvent::Expire);
+    fireRun(Candidate, RunEvent::Expire, DropRequest);
 }
 
 bool BackendSession::placeTask(const std::shared_ptr<const PlacedJob> &Job,
@@ -237,13 +243,13 @@
 
 void BackendSession::expireRun(const RunId &Id) {
   if (RunPointer Expired = m_Runs.find(Id))
-    fireRun(Expired, RunEvent::Expire);
+    fireRun(Expired, RunEvent::Expire, QueueTimeout);
 }
 
 void BackendSession::stopRuns(const std::function<bool(const Run &)> &Matches) {
   for (const RunPointer &Candidate : m_Runs.runs())
     if (Matches(*Candidate))
-      fireRun(Candidate, RunEvent::Stop);
+      fireRun(Candidate, RunEvent::Stop, StopRequest);
   startWaitingRuns();
 }
 
@@ -257,7 +263,10 @@
 
 void BackendSession::startWaitingRuns() {
   while (isServing() && m_Runs.activeCount() < m_Health.runLimit()) {
-    RunPointer Next = m_Runs.nextToStart(m_Timers.now());
+    RunPointer Next =
+        m_Runs.nextToStart(m_Timers.now(), [this](const Run &Waiting) {
+          return mayStart(Waiting);
+        });
     if (!Next)
       break;
     m_Runs.dequeue(*Next);
@@ -265,8 +274,11 @@
     // while the entry may already have given up the run.
     bool IsExpired =
         m_Timers.now() - Next->m_Job->m_PlacedAt >= m_Settings.m_MaxQueueTime;
-    fireRun(Next, IsExpired ? RunEvent::Expire : RunEvent::Start);
+    fireRun(Next, IsExpired ? RunEvent::Expire : RunEvent::Start, QueueTimeout);
   }
+  // Runs that were queued again meanwhile may start at another worker.
+  if (!isServing())
+    dropWaitingRuns();
   m_Hooks.m_Changed();
 }
 
@@ -293,16 +305,13 @@
     logEvent(LogLevel::Warning, "run.start_failed",
              {{"task", Id.m_Task},
               {"run", Id.m_Run},
-              {"outcome", static_cast<int>(Reply.m_Outcome)},
+              {"outcome", nameOf(Reply.m_Outcome)},
               {"token", Token}});
   if (IsCurrent)
-    fireRun(Started, eventOf(Reply.m_Outcome));
-  if (Reply.m_Outcome == OrderOutcome::Unreachable)
-    markLost("nothing listens at its address");
-  else if (Reply.m_Outcome == OrderOutcome::WrongInstance)
-    markLost("another instance replied");
-  else if (Reply.m_Outcome != OrderOutcome::Done)
+    receiveEvidence(Started, StartReplied{Reply.m_Outcome});
+  if (Reply.m_Outcome != OrderOutcome::Done)
     startWaitingRuns();
+  endWhenDrained();
 }
 
 void BackendSession::sendStop(Run &Stopped) {
@@ -317,6 +326,12 @@
 
 void BackendSession::requeueRun(Run &Waiting) {
   m_Runs.enqueue(m_Runs.find(Waiting.m_Id));
+  // The timer may have fired while the run was not waiting.
+  m_Timers.cancel(Waiting.m_ExpiryTimer);
+  TimePoint ExpiresAt = Waiting.m_Job->m_PlacedAt + m_Settings.m_MaxQueueTime;
+  Waiting.m_ExpiryTimer =
+      m_Timers.subscribe(std::max(Duration::zero(), ExpiresAt - m_Timers.now()),
+                         [this, Id = Waiting.m_Id] { expireRun(Id); });
 }
 
 void BackendSession::finishRun(Run &Ended, RunOutcome Outcome) {
@@ -325,12 +340,13 @@
   if (Ended.m_StartedAt != TimePoint{})
     RunTime = m_Timers.now() - Ended.m_StartedAt;
   if (Outcome == RunOutcome::Succeeded)
-    updateSlowness(Ended, RunTime);
+    m_Slowness.recordSuccess(Ended, RunTime);
   updateHealth(Ended, Outcome);
   logEvent(LogLevel::Info, "run.ended",
            {{"task", Ended.m_Id.m_Task},
             {"run", Ended.m_Id.m_Run},
             {"outcome", nameOf(Outcome)},
+            {"evidence", Ended.m_EndEvidence},
             {"run_ms", toMilliseconds(RunTime)},
             {"waited_ms", toMilliseconds(m_Timers.now() - RunTime -
                                          Ended.m_Job->m_PlacedAt)},
@@ -348,38 +364,24 @@
     m_FailedJobs.clear();
 }
 
-void BackendSession::updateSlowness(const Run &Ended, Duration RunTime) {
-  double Ratio = runTimeRatio(RunTime, Ended.m_Job->m_ExpectedRunTime);
-  m_Slowness += SlownessWeight * (Ratio - m_Slowness);
-}
-
-/// The running mean, averaged with the overdue runs in progress.
 double BackendSession::slowness() const {
-  double Sum = MeanSlownessWeight * m_Slowness;
-  double Count = MeanSlownessWeight;
-  for (const RunPointer &Candidate : m_Runs.runs()) {
-    if (Candidate->m_State != RunState::Running)
-      continue;
-    double Ratio = runTimeRatio(m_Timers.now() - Candidate->m_StartedAt,
-                                Candidate->m_Job->m_ExpectedRunTime);
-    if (Ratio < OverdueRatio * m_Slowness)
-      continue;
-    Sum += Ratio;
-    ++Count;
-  }
-  return Sum / Count;
+  return m_Slowness.current(m_Runs.runs(), m_Timers.now());
 }
 
-bool BackendSession::hasOverdueRuns() const { return slowness() > m_Slowness; }
+bool BackendSession::hasOverdueRuns() const {
+  return slowness() > m_Slowness.mean();
+}
 
 void BackendSession::receiveLists(const ConfirmedReply &Confirmed) {
   const HoldReply &Reply = Confirmed.m_Reply;
-  bool IsOtherInstance =
-      Reply.m_InstanceStartedAt != Duration::zero() &&
-      m_Announcement.m_InstanceStartedAt != Duration::zero() &&
-      Reply.m_InstanceStartedAt != m_Announcement.m_InstanceStartedAt;
-  if (IsOtherInstance)
-    return markLost("another instance with the same name replied");
+  OwnStartTime Stated{Reply.m_InstanceStartedAt};
+  if (isFromEarlierLife(m_Identity.known(), Stated))
+    return requestFirstLists();
+  receiveEvidence(Stated);
+  if (isGone())
+    return;
+  m_Identity.recordReply(Reply.m_InstanceStartedAt, Confirmed.m_SentAt,
+                         m_Timers.now());
   processEndedRuns(Reply);
   updateProgress(Reply);
   std::set<RunId> Listed;
@@ -388,16 +390,21 @@
   m_Orphans.clear();
   for (const RunId &Id : Listed) {
     if (RunPointer Found = m_Runs.find(Id))
-      fireRun(Found, RunEvent::Listed);
+      receiveEvidence(Found, ListedRunning{});
     else
       m_Orphans.push_back(Id);
   }
   detectMissingRuns(Confirmed, Listed);
   fire(m_Orphans.empty() ? SessionEvent::NoOrphans
                          : SessionEvent::OrphansFound);
+  requestFirstLists();
+  startWaitingRuns();
+  endWhenDrained();
+}
+
+void BackendSession::requestFirstLists() {
   if (m_Context.m_State == SessionState::Reconciling)
     m_Server.requestLists(m_Settings.m_PollPeriod);
-  startWaitingRuns();
 }
 
 void BackendSession::updateProgress(const HoldReply &Reply) {
@@ -405,32 +412,15 @@
     RunPointer Updated = m_Runs.find(Active.m_Run);
     if (!Updated || Updated->m_State != RunState::Running)
       continue;
-    Updated->m_ProgressListedAt = m_Timers.now();
-    bool HasIncreased = Active.m_ProgressPercent > Updated->m_ProgressPercent ||
-                        Updated->m_LastProgressAt == TimePoint{};
-    bool HasProgressed = Active.m_ProgressPercent > 0 && HasIncreased;
-    if (HasIncreased)
-      Updated->m_LastProgressAt = m_Timers.now();
-    if (HasProgressed && !std::exchange(Updated->m_HasProgressed, true))
+    bool IsFirstProgress =
+        cyclamenwalk::updateProgress(*Updated, Active, m_Timers.now());
+    if (IsFirstProgress)
       m_Health.recordProgress();
-    Updated->m_ProgressPercent = Active.m_ProgressPercent;
     checkDeadline(*Updated);
   }
   stopStalledRuns();
 }
 
-/// Whether the run has made no progress for longer than one step of its
-/// progress can take.
-bool BackendSession::isStalled(const Run &Candidate) const {
-  if (Candidate.m_State != RunState::Running ||
-      Candidate.m_LastProgressAt == TimePoint{})
-    return false;
-  Duration Timeout =
-      std::max(MinStallTimeout,
-               Candidate.m_Job->m_ExpectedRunTime / StallTimeoutDivisor);
-  return Candidate.m_ProgressListedAt - Candidate.m_LastProgressAt >= Timeout;
-}
-
 /// Stops stalled runs, so that their tasks can run at another worker.
 void BackendSession::stopStalledRuns() {
   bool HasStalledRuns = false;
@@ -444,7 +434,7 @@
               {"progress_percent", Candidate->m_ProgressPercent},
               {"stalled_ms", toMilliseconds(Candidate->m_ProgressListedAt -
                                             Candidate->m_LastProgressAt)}});
-    fireRun(Candidate, RunEvent::Stop);
+    fireRun(Candidate, RunEvent::Stop, StopRequest);
   }
   if (!HasStalledRuns)
     return;
@@ -454,28 +444,21 @@
 }
 
 void BackendSession::checkDeadline(Run &Running) {
-  Duration Elapsed = m_Timers.now() - Running.m_StartedAt;
-  // A run without recent progress may succeed at another worker.
-  bool IsStalling = Running.m_ProgressPercent == 0 ||
-                    Running.m_ProgressListedAt - Running.m_LastProgressAt >=
-                        MinStallTimeout / 2;
-  if (Running.m_IsDeadlineMissReported || IsStalling ||
-      Elapsed < MinForecastTime)
-    return;
-  // Progress is rounded down; assume that the next percent is almost complete.
-  Duration RemainingRunTime =
-      Elapsed * FullProgress / (Running.m_ProgressPercent + 1) - Elapsed;
+  Duration RemainingRunTime = forecastRemaining(Running, m_Timers.now());
   Duration UntilDeadline = Running.m_Job->m_DeadlineAt - m_Timers.now();
-  if (RemainingRunTime <= UntilDeadline)
+  bool MayEndInTime =
+      RemainingRunTime == Duration::zero() || RemainingRunTime <= UntilDeadline;
+  if (Running.m_IsDeadlineMissReported || MayEndInTime)
     return;
   Running.m_IsDeadlineMissReported = true;
-  logEvent(LogLevel::Info, "run.deadline_unreachable",
-           {{"task", Running.m_Id.m_Task},
-            {"run", Running.m_Id.m_Run},
-            {"elapsed_ms", toMilliseconds(Elapsed)},
-            {"progress_percent", Running.m_ProgressPercent},
-            {"remaining_run_ms", toMilliseconds(RemainingRunTime)},
-            {"until_deadline_ms", toMilliseconds(UntilDeadline)}});
+  logEvent(
+      LogLevel::Info, "run.deadline_unreachable",
+      {{"task", Running.m_Id.m_Task},
+       {"run", Running.m_Id.m_Run},
+       {"elapsed_ms", toMilliseconds(m_Timers.now() - Running.m_StartedAt)},
+       {"progress_percent", Running.m_ProgressPercent},
+       {"remaining_run_ms", toMilliseconds(RemainingRunTime)},
+       {"until_deadline_ms", toMilliseconds(UntilDeadline)}});
   m_Hooks.m_DeadlineUnreachable(Running);
 }
 
@@ -488,24 +471,17 @@
     if (!Ended)
       continue;
     Ended->m_RunOutcome = Listed.m_RunOutcome;
-    fireRun(Ended, RunEvent::Ended);
+    receiveEvidence(Ended, ListedEnd{Listed.m_RunOutcome});
   }
 }
 
-/// Handles runs that the server should list and does not: runs that had started
-/// when the hold was sent, and unconfirmed runs whose start order is now void.
 void BackendSession::detectMissingRuns(const ConfirmedReply &Confirmed,
                                        const std::set<RunId> &Listed) {
-  for (const RunPointer &Candidate : m_Runs.runs()) {
-    if (!usesResources(*Candidate) || Listed.count(Candidate->m_Id))
-      continue;
-    bool HadStarted = Candidate->m_StartedAt != TimePoint{} &&
-                      Candidate->m_StartedAt < Confirmed.m_SentAt;
-    bool IsFenced = Candidate->m_State != RunState::Starting &&
-                    Candidate->m_OrderToken < Confirmed.m_Token;
-    if (HadStarted || IsFenced)
-      fireRun(Candidate, RunEvent::Missing);
-  }
+  NotListed Evidence{Confirmed.m_SentAt, Confirmed.m_Token,
+                     Confirmed.m_Reply.hasAllEnds()};
+  for (const RunPointer &Candidate : m_Runs.runs())
+    if (!Listed.count(Candidate->m_Id))
+      receiveEvidence(Candidate, Evidence);
 }
 
 void BackendSession::stopOrphans() {
@@ -518,9 +494,9 @@
 
 WorkerReport BackendSession::report() const {
   WorkerReport Report;
-  Report.m_Service = m_Announcement.m_Service;
-  Report.m_Rack = m_Announcement.m_Rack;
-  Report.m_Kind = m_Announcement.m_Kind;
+  Report.m_Service = announcement().m_Service;
+  Report.m_Rack = announcement().m_Rack;
+  Report.m_Kind = announcement().m_Kind;
   Report.m_Capacity = m_Runs.capacity();
   Report.m_Free = m_Runs.free();
   bool IsFull = m_Runs.activeCount() >= m_Health.runLimit();
--- a/packages/worker/internal/backendsession.h
+++ b/packages/worker/internal/backendsession.h
@@ -3,24 +3,14 @@
 
 #include "worker/internal/backendhealth.h"
 #include "worker/internal/runtable.h"
+#include "worker/internal/serveridentity.h"
 #include "worker/internal/serverlink.h"
+#include "worker/internal/slowness.h"
 
 #include <set>
 
 namespace cyclamenwalk {
 
-enum class SessionState { Reconciling, Serving, Leaving, Gone };
-enum class SessionEvent { NoOrphans, OrphansFound, Leave, BackendLost };
-
-template <> struct ChartNames<SessionState> {
-  static constexpr std::array<std::string_view, 4> Values{
-      "reconciling", "serving", "leaving", "gone"};
-};
-template <> struct ChartNames<SessionEvent> {
-  static constexpr std::array<std::string_view, 4> Values{
-      "noOrphans", "orphansFound", "leave", "backendLost"};
-};
-
 /// The session with one instance of the backend server: its running and waiting
 /// runs.
 class BackendSession {
@@ -32,23 +22,33 @@
     std::function<void()> m_Changed;
     /// By its progress, a run cannot end before its job's deadline.
     std::function<void(const Run &)> m_DeadlineUnreachable;
+    /// The latest end of runs that the entry has placed.
+    std::function<TimePoint(Incarnation Entry)> m_RunLimit;
   };
 
   BackendSession(BackendAnnouncement Announcement, WorkerSettings Settings,
                  const WorkerDependencies &Dependencies, Hooks Callbacks);
   ~BackendSession();
 
-  const BackendAnnouncement &announcement() const { return m_Announcement; }
+  const BackendAnnouncement &announcement() const {
+    return m_Identity.announcement();
+  }
 
-  /// Takes a further announcement of the same instance; outdated ones are
-  /// ignored.
-  void updateAnnouncement(const BackendAnnouncement &Announcement);
+  /// Takes a further announcement under the name of the instance. One of
+  /// another life is no more than a reason to ask the server.
+  void receiveAnnouncement(const BackendAnnouncement &Announcement);
+
+  /// The announcement from which the next session can be opened, if any.
+  std::optional<BackendAnnouncement> takeSuccessor() {
+    return m_Identity.takeSuccessor();
+  }
+
+  std::uint64_t token() const { return m_Server.token(); }
 
   /// The server accepts no more work.
   void leave();
 
-  /// The server is known to be gone, and all of its runs with it.
-  void markLost(const std::string &Reason);
+  void receiveEvidence(const ServerEvidence &Evidence);
 
   /// Takes over one run of a task. False if an earlier run of it has not ended,
   /// as when a caller sends a job again whose runs are still being stopped.
@@ -60,6 +60,11 @@
   /// Stops the runs for which \p Matches returns true.
   void stopRuns(const std::function<bool(const Run &)> &Matches);
 
+  /// Lets the lease end by \p EndBy unless the runs for which \p Matches
+  /// returns true have ended before. Returns their number.
+  std::size_t limitRuns(const std::function<bool(const Run &)> &Matches,
+                        TimePoint EndBy);
+
   /// Whether runs that \p Entry placed here have not ended.
   bool hasRunsOf(Incarnation Entry) const;
 
@@ -83,11 +88,20 @@
   RunChart bindRun(const IChartSource &Charts);
 
   void fire(SessionEvent Event);
-  void fireRun(const RunPointer &Target, RunEvent Event);
+  /// \p Evidence is logged if the run ends.
+  void fireRun(const RunPointer &Target, RunEvent Event,
+               std::string_view Evidence);
+  void confirmOtherLife(const BackendAnnouncement &Announcement);
+  void receiveEvidence(const RunPointer &About, const RunEvidence &Evidence);
+  void endWhenDrained();
+  void stopAllRuns();
   void markRunsLost();
   void dropWaitingRuns();
   void stopOrphans();
 
+  TimePoint limitOf(const Run &Limited) const;
+  TimePoint leaseLimit();
+  bool mayStart(const Run &Waiting) const;
   void startWaitingRuns();
   void sendStart(Run &Started);
   void receiveStartReply(const RunId &Id, std::uint64_t Token,
@@ -97,19 +111,18 @@
   void finishRun(Run &Ended, RunOutcome Outcome);
   void expireRun(const RunId &Id);
 
+  void requestFirstLists();
   void receiveLists(const ConfirmedReply &Confirmed);
   void updateProgress(const HoldReply &Reply);
   void checkDeadline(Run &Running);
-  bool isStalled(const Run &Candidate) const;
   void stopStalledRuns();
   void processEndedRuns(const HoldReply &Reply);
   void detectMissingRuns(const ConfirmedReply &Confirmed,
                          const std::set<RunId> &Listed);
   void updateHealth(const Run &Ended, RunOutcome Outcome);
-  void updateSlowness(const Run &Ended, Duration RunTime);
   double slowness() const;
 
-  BackendAnnouncement m_Announcement;
+  ServerIdentity m_Identity;
   const WorkerSettings m_Settings;
   ITimerService &m_Timers;
   IMetrics &m_Metrics;
@@ -117,15 +130,18 @@
   const SessionChart m_Chart;
   const RunChart m_RunChart;
   Context m_Context;
+  /// Name of the evidence that last had an effect on the session.
+  std::string_view m_LastEvidence = "announcement";
   RunTable m_Runs;
   BackendHealth m_Health;
   ServerLink m_Server;
+  /// Whether a run keeps the lease shorter than usual.
+  bool m_IsLeaseCut = false;
   /// Jobs whose failure has been counted in m_Health.
   std::set<JobId> m_FailedJobs;
   /// Runs in progress that this agent did not start.
   std::vector<RunId> m_Orphans;
-  /// Running mean of actual over expected run times.
-  double m_Slowness = 1;
+  Slowness m_Slowness;
 };
 
 } // namespace cyclamenwalk
--- a/packages/worker/internal/serverlink.cpp
+++ b/packages/worker/internal/serverlink.cpp
@@ -2,6 +2,9 @@
 
 #include "core/log.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace cyclamenwalk {
 
 ServerLink::ServerLink(std::string Address, std::string Instance,
@@ -10,11 +13,21 @@
     : m_Address(std::move(Address)), m_Instance(std::move(Instance)),
       m_Settings(Settings), m_Control(Dependencies.m_Control),
       m_Timers(Dependencies.m_Timers), m_Hooks(std::move(Callbacks)),
-      m_Token(Dependencies.m_MakeFencingToken()), m_LeaseSentAt(m_Timers.now()),
+      m_Token(Dependencies.m_MakeFencingToken()),
+      // An earlier agent may have renewed the lease until now.
+      m_LeaseEndsAt(m_Timers.now() + Settings.m_Lease),
       m_LastReplyAt(m_Timers.now()) {}
 
 ServerLink::~ServerLink() { m_Timers.cancel(m_Timer); }
 
+void ServerLink::adoptLaterLife() {
+  stopRenewal();
+  m_LastEndNumber = 0;
+  // The later life may have taken orders until now.
+  m_LeaseEndsAt = m_Timers.now() + m_Settings.m_MaxLease;
+  fenceOrders(m_Token);
+}
+
 void ServerLink::close() {
   m_Timers.cancel(m_Timer);
   m_Alive.reset();
@@ -24,12 +37,26 @@
   scheduleHold(HoldPurpose::List, Delay);
 }
 
-void ServerLink::startRenewal() { sendHold(HoldPurpose::Renew); }
+void ServerLink::startRenewal() {
+  m_RenewsLease = true;
+  startPolling();
+}
+
+void ServerLink::stopRenewal() {
+  m_RenewsLease = false;
+  startPolling();
+}
+
+void ServerLink::startPolling() {
+  if (!std::exchange(m_IsPolling, true))
+    sendHold(HoldPurpose::Poll);
+}
 
 void ServerLink::fenceOrders(std::uint64_t OrderToken) {
   if (m_PendingFenceToken > OrderToken)
     return;
-  ++m_Token;
+  if (m_Token <= OrderToken)
+    ++m_Token;
   logEvent(LogLevel::Info, "backend.fenced",
            {{"instance", m_Instance},
             {"order_token", OrderToken},
@@ -40,13 +67,17 @@
 void ServerLink::start(const RunId &Run, const std::string &Spec,
                        std::function<void(const OrderReply &)> Done) {
   std::weak_ptr<bool> Alive = m_Alive;
-  m_Control.start({target(), Run, Spec, extendLease()},
-                  [this, Alive, Done = std::move(Done)](OrderReply Reply) {
-                    if (Alive.expired())
-                      return;
-                    updateClock(Reply.m_Clock);
-                    Done(Reply);
-                  });
+  TimePoint SentAt = m_Timers.now();
+  m_Control.start(
+      {target(), Run, Spec, extendLease()},
+      [this, Alive, SentAt, Done = std::move(Done)](OrderReply Reply) {
+        if (Alive.expired())
+          return;
+        updateClock(Reply.m_Clock);
+        Done(Reply);
+        if (!Alive.expired())
+          recordReachability(Reply.m_Outcome, SentAt);
+      });
 }
 
 void ServerLink::stop(const RunId &Run) {
@@ -69,12 +100,14 @@
   HoldOrder Order;
   Order.m_Target = target();
   Order.m_LastEndNumber = m_LastEndNumber;
-  bool IsResponsive =
-      m_Timers.now() - m_LastReplyAt < m_Settings.m_RenewalTimeout;
-  bool RenewsLease = Purpose != HoldPurpose::List && IsResponsive;
+  bool IsResponsive = m_IsReachable && m_Timers.now() - m_LastReplyAt <
+                                           m_Settings.m_RenewalTimeout;
+  // Without runs it is not extended, so that it outlasts no later run's limit.
+  bool RenewsLease = m_RenewsLease && Purpose != HoldPurpose::List &&
+                     IsResponsive && m_Hooks.m_HasRuns();
   if (RenewsLease)
     Order.m_LeaseUntil = extendLease();
-  if (Purpose == HoldPurpose::Renew)
+  if (Purpose == HoldPurpose::Poll)
     Order.m_Wait = m_Hooks.m_HasRuns() ? m_Settings.m_BusyHoldTimeout
                                        : m_Settings.m_HoldTimeout;
   if (Purpose == HoldPurpose::Fence)
@@ -91,8 +124,9 @@
 void ServerLink::receiveReply(HoldPurpose Purpose, const HoldOrder &Sent,
                               TimePoint SentAt, const HoldReply &Reply) {
   if (Reply.m_Outcome != OrderOutcome::Done)
-    return handleFailedHold(Purpose, Reply);
+    return handleFailedHold(Purpose, SentAt, Reply);
   m_LastReplyAt = m_Timers.now();
+  m_IsReachable = true;
   updateClock(Reply.m_Clock);
   std::uint64_t Token = Sent.m_Target.m_FencingToken;
   if (Purpose == HoldPurpose::Fence && m_PendingFenceToken <= Token)
@@ -100,32 +134,31 @@
   std::weak_ptr<bool> Alive = m_Alive;
   m_Hooks.m_HoldConfirmed({Reply, Token, SentAt});
   // The hook may have closed this link.
-  if (!Alive.expired() && Purpose == HoldPurpose::Renew)
-    sendHold(HoldPurpose::Renew);
+  if (!Alive.expired() && Purpose == HoldPurpose::Poll)
+    sendHold(HoldPurpose::Poll);
 }
 
-void ServerLink::handleFailedHold(HoldPurpose Purpose, const HoldReply &Reply) {
+void ServerLink::handleFailedHold(HoldPurpose Purpose, TimePoint SentAt,
+                                  const HoldReply &Reply) {
   logEvent(LogLevel::Warning, "backend.hold_failed",
            {{"instance", m_Instance},
-            {"outcome", static_cast<int>(Reply.m_Outcome)},
+            {"outcome", nameOf(Reply.m_Outcome)},
             {"since_reply_ms", toMilliseconds(m_Timers.now() - m_LastReplyAt)},
             {"token", m_Token}});
-  if (Reply.m_Outcome == OrderOutcome::Unreachable)
-    return m_Hooks.m_BackendLost("nothing listens at its address");
-  if (Reply.m_Outcome == OrderOutcome::WrongInstance)
-    return m_Hooks.m_BackendLost("another instance replied");
-  Duration MaxLeaseAge = m_Settings.m_Lease + m_Settings.m_LeaseMargin;
-  if (m_Timers.now() - m_LeaseSentAt > MaxLeaseAge)
-    return m_Hooks.m_BackendLost("its lease expired without a reply");
+  std::weak_ptr<bool> Alive = m_Alive;
+  recordReachability(Reply.m_Outcome, SentAt);
+  if (Alive.expired())
+    return;
+  if (hasLapsed())
+    return m_Hooks.m_EvidenceFound(LeaseLapsed{});
   if (Reply.m_Outcome == OrderOutcome::Fenced) {
     m_Token += m_TokenStep;
     m_TokenStep *= 2;
   }
   // The retry of a fence must not replace the timer of the renewals, so it
   // doesn't use m_Timer.
-  std::weak_ptr<bool> Alive = m_Alive;
-  bool IsReplyRecent =
-      m_Timers.now() - m_LastReplyAt < m_Settings.m_PollPeriod * 3;
+  bool IsReplyRecent = m_IsReachable && m_Timers.now() - m_LastReplyAt <
+                                            m_Settings.m_PollPeriod * 3;
   Duration Delay = IsReplyRecent ? Duration::zero() : m_Settings.m_PollPeriod;
   m_Timers.subscribe(Delay, [this, Alive, Purpose] {
     if (!Alive.expired())
@@ -133,6 +166,17 @@
   });
 }
 
+void ServerLink::recordReachability(OrderOutcome Outcome, TimePoint SentAt) {
+  if (Outcome == OrderOutcome::Unanswered)
+    return;
+  m_IsReachable = Outcome != OrderOutcome::NotSent &&
+                  Outcome != OrderOutcome::WrongInstance;
+  if (Outcome == OrderOutcome::NotSent)
+    m_Hooks.m_EvidenceFound(ConnectionRefused{});
+  else if (Outcome == OrderOutcome::WrongInstance)
+    m_Hooks.m_EvidenceFound(OtherInstanceReplied{SentAt});
+}
+
 OrderTarget ServerLink::target() const {
   return {m_Address, m_Instance, m_Token};
 }
@@ -144,10 +188,22 @@
   m_ServerClockReadAt = m_Timers.now();
 }
 
+/// Returns the new end of the lease by the server's clock, zero if the lease
+/// must not be extended.
 Duration ServerLink::extendLease() {
-  m_LeaseSentAt = m_Timers.now();
-  return m_ServerClock + (m_Timers.now() - m_ServerClockReadAt) +
-         m_Settings.m_Lease;
+  TimePoint Now = m_Timers.now();
+  TimePoint EndsAt = std::min(Now + m_Settings.m_Lease, m_Hooks.m_LeaseLimit());
+  if (EndsAt <= Now)
+    return Duration::zero();
+  m_LeaseEndsAt = std::max(m_LeaseEndsAt, EndsAt);
+  return m_ServerClock + (EndsAt - m_ServerClockReadAt);
+}
+
+/// Whether a server that does not reply has ended all runs for want of a lease.
+bool ServerLink::hasLapsed() const {
+  TimePoint Now = m_Timers.now();
+  return Now - m_LeaseEndsAt > m_Settings.m_LeaseMargin &&
+         Now - m_LastReplyAt > m_Settings.m_Lease + m_Settings.m_LeaseMargin;
 }
 
 } // namespace cyclamenwalk
--- a/packages/worker/internal/serverlink.h
+++ b/packages/worker/internal/serverlink.h
@@ -1,6 +1,7 @@
 #ifndef CYCLAMENWALK_WORKER_INTERNAL_SERVERLINK_H
 #define CYCLAMENWALK_WORKER_INTERNAL_SERVERLINK_H
 
+#include "worker/types/evidence.h"
 #include "worker/workermodule.h"
 
 #include <memory>
@@ -22,11 +23,12 @@
 public:
   struct Hooks {
     std::function<void(const ConfirmedReply &)> m_HoldConfirmed;
-    /// No run that this agent started is in progress at the server any more.
-    std::function<void(const std::string &Reason)> m_BackendLost;
+    std::function<void(const ServerEvidence &)> m_EvidenceFound;
     /// Whether runs are in progress; if so, their progress is polled more
     /// often.
     std::function<bool()> m_HasRuns;
+    /// The lease of the runs in progress must not end later.
+    std::function<TimePoint()> m_LeaseLimit;
   };
 
   ServerLink(std::string Address, std::string Instance, WorkerSettings Settings,
@@ -35,16 +37,26 @@
 
   std::uint64_t token() const { return m_Token; }
 
+  /// The latest end of a lease that any order has carried.
+  TimePoint leaseEndsAt() const { return m_LeaseEndsAt; }
+
   /// Requests the lists of runs without renewing the lease.
   void requestLists(Duration Delay = Duration::zero());
 
   /// Renews the lease continuously from now on.
   void startRenewal();
 
-  /// Makes start orders with \p OrderToken void by raising the token. The reply
+  /// Requests lists continuously without renewing the lease any more.
+  void stopRenewal();
+
+  /// Makes start orders with \p OrderToken void by a higher token. The reply
   /// that confirms the new token is passed to m_HoldConfirmed.
   void fenceOrders(std::uint64_t OrderToken);
 
+  /// A later life of the server numbers its ends anew, and may still take
+  /// orders that were sent to the earlier one; they are fenced.
+  void adoptLaterLife();
+
   /// Sends no more holds and drops all outstanding replies.
   void close();
 
@@ -57,16 +69,21 @@
   void setLastEnd(std::uint64_t Number) { m_LastEndNumber = Number; }
 
 private:
-  enum class HoldPurpose { List, Fence, Renew };
+  enum class HoldPurpose { List, Fence, Poll };
 
+  void startPolling();
   void sendHold(HoldPurpose Purpose);
   void scheduleHold(HoldPurpose Purpose, Duration Delay);
   void receiveReply(HoldPurpose Purpose, const HoldOrder &Sent,
                     TimePoint SentAt, const HoldReply &Reply);
-  void handleFailedHold(HoldPurpose Purpose, const HoldReply &Reply);
+  void handleFailedHold(HoldPurpose Purpose, TimePoint SentAt,
+                        const HoldReply &Reply);
+  /// Takes the outcome of an order as evidence about the server.
+  void recordReachability(OrderOutcome Outcome, TimePoint SentAt);
   OrderTarget target() const;
   void updateClock(Duration ServerClock);
   Duration extendLease();
+  bool hasLapsed() const;
 
   /// More than one life of an agent can raise its token by. The server may not
   /// have seen the highest token of an earlier life, of which orders can still
@@ -88,9 +105,12 @@
   /// The server's clock at m_ServerClockReadAt.
   Duration m_ServerClock{};
   TimePoint m_ServerClockReadAt;
-  /// When the last order that extended the lease was sent.
-  TimePoint m_LeaseSentAt;
+  TimePoint m_LeaseEndsAt;
   TimePoint m_LastReplyAt;
+  /// Whether the last order that had a definite outcome reached the server.
+  bool m_IsReachable = true;
+  bool m_IsPolling = false;
+  bool m_RenewsLease = false;
   TimerId m_Timer = 0;
   /// Callbacks hold a weak pointer to this and do nothing once it has expired.
   std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
--- a/packages/worker/internal/workerservice.cpp
+++ b/packages/worker/internal/workerservice.cpp
@@ -52,6 +52,7 @@
 
 WorkerService::~WorkerService() {
   m_Timers.cancel(m_ReportTimer);
+  m_Timers.cancel(m_ReplaceTimer);
   m_Timers.cancel(m_OverdueTimer);
 }
 
@@ -72,47 +73,65 @@
 }
 
 void WorkerService::announce(const BackendAnnouncement &Announcement) {
-  SessionPointer Session = findSession(Announcement.m_Instance);
-  if (!Session)
-    return openSession(Announcement);
-  Duration SessionBornAt = Session->announcement().m_InstanceStartedAt;
-  bool IsOutdated = Announcement.m_InstanceStartedAt < SessionBornAt;
-  if (IsOutdated)
-    return;
-  bool IsLaterInstance = Announcement.m_InstanceStartedAt > SessionBornAt;
-  if (!IsLaterInstance) {
-    Session->updateAnnouncement(Announcement);
-    removeGoneSessions();
-    return;
-  }
-  Session->markLost("a later instance uses its name");
-  openSession(Announcement);
+  replaceGoneSessions();
+  if (SessionPointer Session = findSession(Announcement.m_Instance))
+    Session->receiveAnnouncement(Announcement);
+  else
+    openSession(Announcement);
 }
 
 void WorkerService::openSession(const BackendAnnouncement &Announcement) {
-  removeGoneSessions();
   // A server that is already leaving gets no work.
   if (Announcement.m_IsLeaving)
     return;
+  // Orders of earlier sessions may still be on their way to the server.
+  WorkerDependencies Dependencies = m_Dependencies;
+  Dependencies.m_MakeFencingToken = [this] {
+    return std::max(m_Dependencies.m_MakeFencingToken(), m_HighestToken + 1);
+  };
   m_Sessions.push_back(std::make_shared<BackendSession>(
-      Announcement, m_Settings, m_Dependencies,
+      Announcement, m_Settings, Dependencies,
       BackendSession::Hooks{
           [this](const Run &Ended) { recordResult(Ended); },
-          [this] { recordChange(); },
-          [this](const Run &Late) { reportDeadlineMiss(Late); }}));
+          [this] { handleSessionChange(); },
+          [this](const Run &Late) { reportDeadlineMiss(Late); },
+          [this](Incarnation Entry) { return runLimit(Entry); }}));
+}
+
+void WorkerService::handleSessionChange() {
+  recordChange();
+  bool HasGoneSession = std::any_of(
+      m_Sessions.begin(), m_Sessions.end(),
+      [](const SessionPointer &Session) { return Session->isGone(); });
+  if (!HasGoneSession || m_ReplaceTimer != 0)
+    return;
+  // The session that has changed is still in use.
+  m_ReplaceTimer = m_Timers.subscribe(Duration::zero(), [this] {
+    m_ReplaceTimer = 0;
+    replaceGoneSessions();
+  });
 }
 
-void WorkerService::removeGoneSessions() {
+/// Opens the sessions whose predecessors are proven over.
+void WorkerService::replaceGoneSessions() {
+  std::vector<BackendAnnouncement> Successors;
+  for (const SessionPointer &Session : m_Sessions) {
+    if (!Session->isGone())
+      continue;
+    m_HighestToken = std::max(m_HighestToken, Session->token());
+    if (auto Successor = Session->takeSuccessor())
+      Successors.push_back(std::move(*Successor));
+  }
   std::erase_if(m_Sessions, [](const SessionPointer &Session) {
     return Session->isGone();
   });
+  for (const BackendAnnouncement &Successor : Successors)
+    openSession(Successor);
 }
 
 void WorkerService::deregister(const std::string &Instance) {
-  if (SessionPointer Session = findSession(Instance)) {
-    Session->markLost("it deregistered");
-    removeGoneSessions();
-  }
+  if (SessionPointer Session = findSession(Instance))
+    Session->receiveEvidence(Deregistration{});
 }
 
 void WorkerService::drain() {
@@ -127,10 +146,36 @@
 
 void WorkerService::entryDown(const Peer &Entry) {
   m_Entries.erase(Entry.m_Incarnation);
-  for (const SessionPointer &Session : std::vector(m_Sessions))
-    Session->stopRuns([&Entry](const Run &Placed) {
-      return Placed.m_Job->m_Entry == Entry.m_Incarnation;
-    });
+  stopRuns(Entry.m_Incarnation, "entry_lost", [&Entry](const Run &Placed) {
+    return Placed.m_Job->m_Entry == Entry.m_Incarnation;
+  });
+}
+
+/// Until the server lists their ends, the runs keep the lease from lasting
+/// longer than from what was proven before the reason to stop them.
+void WorkerService::stopRuns(Incarnation Entry, const std::string &Cause,
+                             const std::function<bool(const Run &)> &Matches) {
+  TimePoint EndBy = runLimit(Entry);
+  std::size_t RunCount = 0;
+  for (const SessionPointer &Session : std::vector(m_Sessions)) {
+    RunCount += Session->limitRuns(Matches, EndBy);
+    Session->stopRuns(Matches);
+  }
+  TimePoint Now = m_Timers.now();
+  const ILinks &Links = m_Dependencies.m_Links;
+  logEvent(
+      LogLevel::Info, "runs.stopped",
+      {{"entry", toString(Entry)},
+       {"cause", Cause},
+       {"runs", RunCount},
+       {"proven_age_ms", toMilliseconds(Now - Links.provenAliveAt(Entry))},
+       {"callers_age_ms", toMilliseconds(Now - Links.callersAliveAt(Entry))},
+       {"end_within_ms", toMilliseconds(EndBy - Now)}});
+}
+
+TimePoint WorkerService::runLimit(Incarnation Entry) const {
+  return m_Dependencies.m_Links.callersAliveAt(Entry) +
+         m_Settings.m_CallerTimeout;
 }
 
 void WorkerService::receive(Incarnation Entry, Message &Body) {
@@ -222,9 +267,8 @@
 }
 
 void WorkerService::stopJob(JobId Job) {
-  for (const SessionPointer &Session : std::vector(m_Sessions))
-    Session->stopRuns(
-        [Job](const Run &Placed) { return Placed.m_Job->m_Job == Job; });
+  stopRuns(Job.m_Entry, "job_stopped",
+           [Job](const Run &Placed) { return Placed.m_Job->m_Job == Job; });
 }
 
 void WorkerService::recordResult(const Run &Ended) {
--- a/packages/worker/internal/workerservice.h
+++ b/packages/worker/internal/workerservice.h
@@ -41,11 +41,15 @@
   SessionPointer findSession(const std::string &Instance) const;
   SessionPointer currentSession() const;
   void openSession(const BackendAnnouncement &Announcement);
-  void removeGoneSessions();
+  void handleSessionChange();
+  void replaceGoneSessions();
   void receivePlacement(Incarnation Entry, PlaceTasks &Body);
   void refuseTasks(Incarnation Entry, const PlaceTasks &Body,
                    const std::vector<PlacedTask> &Tasks);
   void stopJob(JobId Job);
+  void stopRuns(Incarnation Entry, const std::string &Cause,
+                const std::function<bool(const Run &)> &Matches);
+  TimePoint runLimit(Incarnation Entry) const;
   void recordResult(const Run &Ended);
   void recordChange();
   void reportDeadlineMiss(const Run &Late);
@@ -62,11 +66,14 @@
   const WorkerDependencies m_Dependencies;
   ITimerService &m_Timers;
   std::map<Incarnation, LinkedEntry> m_Entries;
-  /// Sorted by the start of the instance; the latest is the last.
+  /// One for each instance at most; the last one was opened last.
   std::vector<SessionPointer> m_Sessions;
+  /// The highest fencing token of the sessions that have ended.
+  std::uint64_t m_HighestToken = 0;
   bool m_IsDraining = false;
   TimerId m_ReportTimer = 0;
   TimerId m_OverdueTimer = 0;
+  TimerId m_ReplaceTimer = 0;
   /// When m_ReportTimer fires.
   TimePoint m_ReportDueAt;
 };
--- a/packages/worker/types/backend.h
+++ b/packages/worker/types/backend.h
@@ -6,6 +6,7 @@
 #include "message/types/placement.h"
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -82,8 +83,9 @@
   Refused,
   /// Rejected by another instance of the server.
   WrongInstance,
-  /// Nothing listens at the address, so the order was not carried out.
-  Unreachable,
+  /// Never written to a connection, so this order is not carried out. Says
+  /// nothing about earlier orders.
+  NotSent,
   /// No usable reply; the order may still be carried out at any later time.
   Unanswered
 };
@@ -109,6 +111,9 @@
   RunOutcome m_RunOutcome = RunOutcome::Failed;
 };
 
+/// The greatest number of ends in one HoldReply.
+inline constexpr std::size_t MaxListedEnds = 500;
+
 struct HoldReply {
   OrderOutcome m_Outcome = OrderOutcome::Unanswered;
   Duration m_Clock{};
@@ -117,12 +122,22 @@
   std::vector<ActiveRun> m_Running;
   /// Sorted by m_Number.
   std::vector<EndedRun> m_Ended;
+
+  /// Whether no further ends follow in a later reply.
+  bool hasAllEnds() const { return m_Ended.size() < MaxListedEnds; }
 };
 
 /// Timeouts and periods for the control of a backend server.
 struct WorkerSettings {
   /// How long runs continue without a renewal by this agent.
-  Duration m_Lease = milliseconds(1000);
+  Duration m_Lease = milliseconds(650);
+  /// The server shortens longer leases to this.
+  Duration m_MaxLease = milliseconds(1000);
+  /// Runs end at the latest this long after their entry and its callers were
+  /// last proven alive. Together with the drift of the server's clock and the
+  /// duration of a stop, it is shorter than the time after which callers send a
+  /// job again.
+  Duration m_CallerTimeout = milliseconds(1150);
   /// How long the server delays its reply to a hold while no run ends.
   Duration m_HoldTimeout = milliseconds(300);
   /// The same while runs are in progress: if a reply is lost, ends of runs are
