--- a/packages/forward/tests/joblookup_test.cpp
+++ b/packages/forward/tests/joblookup_test.cpp
@@ -39,11 +39,11 @@
     m_View.m_Members = {Self};
   }
 
-  void addMembers(std::vector<Incarnation> Ids) {
+  void addMembers(const std::vector<Incarnation> &Ids) {
     m_View.m_Members.insert(Ids.begin(), Ids.end());
   }
 
-  void link(std::vector<Incarnation> Ids) {
+  void link(const std::vector<Incarnation> &Ids) {
     for (Incarnation Id : Ids)
       m_Lookup->entryUp(entry(Id));
   }
