--- a/packages/message/types/messages.h
+++ b/packages/message/types/messages.h
@@ -186,8 +186,8 @@
                  CreditWithdraw, Demand, Start, StartRefused, TaskDone, StopJob,
                  EntryList, ConfigurationNotice, ConfigurationRequest,
                  ConfigurationBody, WorkerReport, PlaceTasks, RunResults,
-                 DeadlineMissForecast, FindJob, FindJobReply,
-                 ReportInterval, PlacerState, ForwardJob, ForwardedJobAnswer,
+                 DeadlineMissForecast, FindJob, FindJobReply, ReportInterval,
+                 PlacerState, ForwardJob, ForwardedJobAnswer,
                  CancelForwardedJob>;
 
 /// A message with the fields that a link needs to deliver it exactly once and
--- a/packages/protocol/internal/fields.h
+++ b/packages/protocol/internal/fields.h
@@ -97,16 +97,14 @@
 void visitFields(DeadlineMissForecast &Value, Call &&Visit) {
   Visit(Value.m_Job, Value.m_Index, Value.m_Run);
 }
-template <typename Call>
-void visitFields(FindJob &Value, Call &&Visit) {
+template <typename Call> void visitFields(FindJob &Value, Call &&Visit) {
   Visit(Value.m_Request, Value.m_Asker, Value.m_Asked, Value.m_Name,
         Value.m_Cancels);
 }
 template <typename Call> void visitFields(ReportInterval &Value, Call &&Visit) {
   Visit(Value.m_Period);
 }
-template <typename Call>
-void visitFields(FindJobReply &Value, Call &&Visit) {
+template <typename Call> void visitFields(FindJobReply &Value, Call &&Visit) {
   Visit(Value.m_Request, Value.m_Asker, Value.m_Asked, Value.m_WasFound);
 }
 template <typename Call> void visitFields(ServiceRoom &Value, Call &&Visit) {
