The next session assumes the longest lease that an earlier one may have granted

A server that restarts under its name counts its clock anew, so that orders which were sent before the agent knew of it carry a far end of the lease, which the server shortens to its own maximum, 1000 ms. The session that learns of the restart reckons with that, but it ends at once, and the next one reckoned with 650 ms. A run that it starts is given up, and its task placed again, 750 ms after the last reply when connections are refused then, while the server runs it to the end of the longer lease. mayStart() was too lenient by as much.

--- a/packages/worker/internal/backendsession.cpp
+++ b/packages/worker/internal/backendsession.cpp
@@ -47,7 +47,7 @@
 BackendSession::BackendSession(BackendAnnouncement Announcement,
                                WorkerSettings Settings,
                                const WorkerDependencies &Dependencies,
-                               Hooks Callbacks)
+                               TimePoint LeaseEndsAt, Hooks Callbacks)
     : m_Identity(std::move(Announcement)), m_Settings(Settings),
       m_Timers(Dependencies.m_Timers), m_Metrics(Dependencies.m_Metrics),
       m_Hooks(std::move(Callbacks)),
@@ -58,7 +58,7 @@
                Dependencies.m_Charts, m_Timers, [this] { startWaitingRuns(); }),
       m_Server(
           announcement().m_Address, announcement().m_Instance, Settings,
-          Dependencies,
+          Dependencies, LeaseEndsAt,
           {[this](const ConfirmedReply &Confirmed) { receiveLists(Confirmed); },
            [this](const ServerEvidence &E) { receiveEvidence(E); },
            [this] { return m_Runs.activeCount() > 0; },
--- a/packages/worker/internal/backendsession.h
+++ b/packages/worker/internal/backendsession.h
@@ -26,8 +26,10 @@
     std::function<TimePoint(Incarnation Entry)> m_RunLimit;
   };
 
+  /// \p LeaseEndsAt: the latest end of a lease from an earlier session.
   BackendSession(BackendAnnouncement Announcement, WorkerSettings Settings,
-                 const WorkerDependencies &Dependencies, Hooks Callbacks);
+                 const WorkerDependencies &Dependencies, TimePoint LeaseEndsAt,
+                 Hooks Callbacks);
   ~BackendSession();
 
   const BackendAnnouncement &announcement() const {
@@ -45,6 +47,9 @@
 
   std::uint64_t token() const { return m_Server.token(); }
 
+  /// The latest end of a lease that the server may hold.
+  TimePoint leaseEndsAt() const { return m_Server.leaseEndsAt(); }
+
   /// The server accepts no more work.
   void leave();
 
--- a/packages/worker/internal/serverlink.cpp
+++ b/packages/worker/internal/serverlink.cpp
@@ -9,13 +9,14 @@
 
 ServerLink::ServerLink(std::string Address, std::string Instance,
                        WorkerSettings Settings,
-                       const WorkerDependencies &Dependencies, Hooks Callbacks)
+                       const WorkerDependencies &Dependencies,
+                       TimePoint LeaseEndsAt, Hooks Callbacks)
     : m_Address(std::move(Address)), m_Instance(std::move(Instance)),
       m_Settings(Settings), m_Control(Dependencies.m_Control),
       m_Timers(Dependencies.m_Timers), m_Hooks(std::move(Callbacks)),
       m_Token(Dependencies.m_MakeFencingToken()),
       // An earlier agent may have renewed the lease until now.
-      m_LeaseEndsAt(m_Timers.now() + Settings.m_Lease),
+      m_LeaseEndsAt(std::max(LeaseEndsAt, m_Timers.now() + Settings.m_Lease)),
       m_LastReplyAt(m_Timers.now()) {}
 
 ServerLink::~ServerLink() { m_Timers.cancel(m_Timer); }
--- a/packages/worker/internal/serverlink.h
+++ b/packages/worker/internal/serverlink.h
@@ -31,8 +31,10 @@
     std::function<TimePoint()> m_LeaseLimit;
   };
 
+  /// \p LeaseEndsAt: the latest end of a lease from an earlier session.
   ServerLink(std::string Address, std::string Instance, WorkerSettings Settings,
-             const WorkerDependencies &Dependencies, Hooks Callbacks);
+             const WorkerDependencies &Dependencies, TimePoint LeaseEndsAt,
+             Hooks Callbacks);
   ~ServerLink();
 
   std::uint64_t token() const { return m_Token; }
--- a/packages/worker/internal/workerservice.cpp
+++ b/packages/worker/internal/workerservice.cpp
@@ -90,7 +90,7 @@
     return std::max(m_Dependencies.m_MakeFencingToken(), m_HighestToken + 1);
   };
   m_Sessions.push_back(std::make_shared<BackendSession>(
-      Announcement, m_Settings, Dependencies,
+      Announcement, m_Settings, Dependencies, m_LeaseEndsAt,
       BackendSession::Hooks{
           [this](const Run &Ended) { recordResult(Ended); },
           [this] { handleSessionChange(); },
@@ -119,6 +119,7 @@
     if (!Session->isGone())
       continue;
     m_HighestToken = std::max(m_HighestToken, Session->token());
+    m_LeaseEndsAt = std::max(m_LeaseEndsAt, Session->leaseEndsAt());
     if (auto Successor = Session->takeSuccessor())
       Successors.push_back(std::move(*Successor));
   }
--- a/packages/worker/internal/workerservice.h
+++ b/packages/worker/internal/workerservice.h
@@ -70,6 +70,8 @@
   std::vector<SessionPointer> m_Sessions;
   /// The highest fencing token of the sessions that have ended.
   std::uint64_t m_HighestToken = 0;
+  /// The latest end of a lease from the sessions that have ended.
+  TimePoint m_LeaseEndsAt;
   bool m_IsDraining = false;
   TimerId m_ReportTimer = 0;
   TimerId m_OverdueTimer = 0;
--- a/packages/worker/tests/lease_test.cpp
+++ b/packages/worker/tests/lease_test.cpp
@@ -202,3 +202,35 @@
   m_Timers.advance(milliseconds(10));
   EXPECT_EQ(Results(), 1u);
 }
+
+/// Guards against tasks that run twice: orders that were sent before the agent
+/// knew of a restart give the restarted server, whose clock began anew, the
+/// longest lease that it allows. Then its connections are refused.
+TEST_F(LeaseTest, RestartedServerIsGivenUpWhenItsLongestLeaseHasLapsed) {
+  m_Control.m_InstanceStartedAt = seconds(100);
+  m_Control.answerHolds();
+  place(OtherEntry, 1);
+  play(milliseconds(100));
+  m_Control.restart(seconds(200));
+  m_Control.m_Clock = milliseconds(10);
+  TimePoint LongestLease = m_Timers.now() + m_Settings.m_MaxLease;
+  BackendAnnouncement Later;
+  Later.m_Instance = "i-1";
+  Later.m_InstanceStartedAt = seconds(200);
+  Later.m_Address = "10.0.0.9:80";
+  Later.m_Service = "gatepost";
+  Later.m_Capacity = {64000, 262144, 0};
+  Later.m_Sequence = 1;
+  m_Worker->announce(Later);
+  play(milliseconds(60));
+  place(OtherEntry, 2);
+  ASSERT_EQ(m_Control.m_Running.count({"job2.0", 1}), 1u);
+  m_Links.m_Sent.clear();
+  while (m_Timers.now() <= LongestLease) {
+    m_Control.answerHolds(OrderOutcome::NotSent);
+    m_Timers.advance(milliseconds(10));
+    ASSERT_TRUE(m_Links.sent<RunResults>().empty())
+        << "given up " << toMilliseconds(LongestLease - m_Timers.now())
+        << " ms too early";
+  }
+}
