A cancel reaches a job that another entry forwarded as well

A caller's job can be at its owner twice: forwarded by the entry to which it was sent first, and sent to the owner itself. The owner's cancel() took back its own caller only, answered that the job was found, and the job ran on for the other caller until the forwarding entry took part in the cancel, which one that is frozen does not do in time.

--- a/packages/batch/tests/mocks/batchservicefake.h
+++ b/packages/batch/tests/mocks/batchservicefake.h
@@ -22,7 +22,10 @@
     if (m_OnRemove)
       m_OnRemove();
   }
-  bool cancel(const std::string &) override { return false; }
+  bool cancel(const std::string &Name) override {
+    m_Cancelled.push_back(Name);
+    return false;
+  }
   bool isRunning(const std::string &) const override { return false; }
   std::size_t waiting(const std::string &) const override { return 0; }
   std::size_t running() const override { return 0; }
@@ -44,6 +47,7 @@
   std::vector<BatchSpec> m_Submitted;
   std::vector<BatchCallback> m_Callbacks;
   std::vector<JobId> m_Removed;
+  std::vector<std::string> m_Cancelled;
   std::set<std::string> m_Stopping;
   /// Called when a caller is removed.
   std::function<void()> m_OnRemove;
--- a/packages/forward/internal/forwardingservice.cpp
+++ b/packages/forward/internal/forwardingservice.cpp
@@ -158,12 +158,15 @@
     fire(Job, ForwardedJobEvent::Cancel);
 }
 
+/// Another entry may have forwarded a job that a caller sent here as well, so
+/// it is cancelled in both roles.
 bool ForwardingService::cancel(const std::string &Name) {
   auto It = m_JobsByName.find(Name);
-  if (It == m_JobsByName.end())
-    return m_Dependencies.m_Jobs.cancel(Name);
-  fire(find(It->second), ForwardedJobEvent::Cancel);
-  return true;
+  bool IsForwarded = It != m_JobsByName.end();
+  if (IsForwarded)
+    fire(find(It->second), ForwardedJobEvent::Cancel);
+  bool IsOwned = m_Dependencies.m_Jobs.cancel(Name);
+  return IsForwarded || IsOwned;
 }
 
 bool ForwardingService::isRunning(const std::string &Name) const {
--- a/packages/forward/tests/forwardingservice_test.cpp
+++ b/packages/forward/tests/forwardingservice_test.cpp
@@ -308,3 +308,15 @@
   ASSERT_EQ(States.size(), 2u);
   EXPECT_EQ(States[1].second.m_Rooms, m_Jobs.m_Rooms);
 }
+
+/// Guards against a job that runs on after its cancel was answered: its caller
+/// sent it to its owner as well, and the entry that forwarded it is silent.
+TEST_F(ForwardingServiceTest, CancelsAJobThatAnotherEntryForwardedAsWell) {
+  m_Jobs.m_Rooms = {room(500'000, {"r1"})};
+  addPlacer(FirstPlacer, 1000);
+  receive(FirstPlacer, ForwardJob{5, spec("a1")});
+  submit(spec("a1"));
+  ASSERT_EQ(m_Jobs.m_Submitted.size(), 2u);
+  EXPECT_TRUE(m_Forwarding->cancel("a1"));
+  EXPECT_EQ(m_Jobs.m_Cancelled, std::vector<std::string>{"a1"});
+}
