A delayed announcement of a former backend server ends no task

An announcement that arrives after that of the next instance was taken for one more replacement: running tasks were reported lost, and their slots given out again, while the tasks went on. An instance that was replaced never comes back.

Before, SlotServiceTest.delayedAnnouncementOfAFormerInstanceEndsNoTask: slotservice_test.cpp:353: Failure m_Slots.issuedCredits() Which is: 1, 0u Now: slot_test, all 20 passed.

--- a/packages/slot/internal/slotservice.cpp
+++ b/packages/slot/internal/slotservice.cpp
@@ -87,6 +87,9 @@
 }
 
 void SlotService::announce(const BackendOffer &Offer) {
+  // An announcement that was delayed; no instance comes back.
+  if (m_FormerInstances.count(Offer.m_Instance) > 0)
+    return;
   m_Backend.m_ReceivedOffer = Offer;
   m_BackendChart.fire(m_Backend, BackendEvent::Announced);
 }
@@ -100,6 +103,10 @@
 void SlotService::adoptOffer() {
   // The new instance may belong to another service.
   m_Credits.withdrawAll();
+  bool HasEverServed = !m_Backend.m_Offer.m_Service.empty();
+  if (HasEverServed &&
+      m_Backend.m_Offer.m_Instance != m_Backend.m_ReceivedOffer.m_Instance)
+    m_FormerInstances.insert(m_Backend.m_Offer.m_Instance);
   m_Backend.m_Offer = m_Backend.m_ReceivedOffer;
   logEvent(LogLevel::Info, "backend.serving",
            {{"service", m_Backend.m_Offer.m_Service},
--- a/packages/slot/internal/slotservice.h
+++ b/packages/slot/internal/slotservice.h
@@ -5,6 +5,7 @@
 #include "slot/internal/taskhistory.h"
 #include "slot/slotmodule.h"
 
+#include <set>
 #include <unordered_map>
 
 namespace cyclamenwalk {
@@ -67,6 +68,8 @@
   const ExecutionChart m_ExecutionChart;
   SlotLimits m_Limits;
   Backend m_Backend;
+  /// Instances of the backend server that another one has replaced.
+  std::set<std::string> m_FormerInstances;
   CreditAllocator m_Credits;
   TaskHistory m_TaskHistory;
   std::vector<Incarnation> m_Entries;
--- a/packages/slot/tests/slotservice_test.cpp
+++ b/packages/slot/tests/slotservice_test.cpp
@@ -340,3 +340,18 @@
   start(EntryA, m_Granted[EntryA][0].m_Id);
   EXPECT_EQ(m_Refused.at(0).m_Code, ResultCode::WithdrawnConfiguration);
 }
+
+/// Guards against tasks beyond the slots: an announcement that was delayed is
+/// taken for the next instance's, and running tasks for lost.
+TEST_F(SlotServiceTest, delayedAnnouncementOfAFormerInstanceEndsNoTask) {
+  link(EntryA);
+  serve(1, "r1");
+  serve(1, "r2");
+  start(EntryA, m_Granted[EntryA].back().m_Id);
+  serve(1, "r1");
+  EXPECT_TRUE(m_Done.empty());
+  EXPECT_EQ(m_Slots.issuedCredits(), 0u);
+  serve(1, "r2");
+  EXPECT_TRUE(m_Done.empty());
+  EXPECT_EQ(m_Slots.issuedCredits(), 0u);
+}
