Entries that could not renew their rows are not taken for gone

A member without a link expired 15 s after its last renewal, also while the store was down and nobody could renew. A search for a job then no longer asked it, and a cancel was answered 410 while the entry ran the job. The members are incomplete meanwhile, and after an outage the entries get the lease time again.

--- a/packages/membership/ientryregistry.h
+++ b/packages/membership/ientryregistry.h
@@ -49,7 +49,8 @@
   virtual std::vector<EntryAddress> members() const = 0;
 
   /// Whether members() has held all members there were at some time since the
-  /// start: the rows were read, or another entry sent a complete list.
+  /// start: the rows were read, or another entry sent a complete list. False
+  /// while an entry is no member only because the rows could not be read.
   virtual bool isComplete() const = 0;
 
   /// Whether the last renewal was written to the store.
--- a/packages/membership/internal/entryregistry.cpp
+++ b/packages/membership/internal/entryregistry.cpp
@@ -86,6 +86,7 @@
   m_Tables.scan(EntriesTable, "", [this, Alive](const ScanResult &Result) {
     if (Alive.expired() || Result.m_Status != StoreStatus::Ok)
       return;
+    recordScan();
     for (const KeyedRow &Row : Result.m_Rows)
       updateFromRow(Row);
     removeMissing(Result.m_Rows);
@@ -94,6 +95,17 @@
   });
 }
 
+/// Entries cannot renew their rows while the store is down; after that they get
+/// the lease time again.
+void EntryRegistry::recordScan() {
+  TimePoint Now = m_Timers.now();
+  bool WasStoreDown = Now - m_RowsReadAt >= m_Settings.m_LeaseTimeout / 2;
+  if (WasStoreDown && m_IsComplete)
+    for (auto &NamedEntry : m_Others)
+      NamedEntry.second.m_LastRenewedAt = Now;
+  m_RowsReadAt = Now;
+}
+
 void EntryRegistry::updateFromRow(const KeyedRow &Row) {
   auto Decoded = m_Codec.m_Decode(Row.m_Row.m_Value);
   if (!Decoded || Row.m_Key == m_Registration.m_Row.m_Address.m_Name)
@@ -198,6 +210,17 @@
          m_Timers.now() - Entry.m_LastRenewedAt >= m_Settings.m_LeaseTimeout;
 }
 
+/// An entry that has expired without the rows being read may live.
+bool EntryRegistry::isComplete() const {
+  auto IsUnknown = [this](const auto &NamedEntry) {
+    const OtherEntry &Entry = NamedEntry.second;
+    return hasExpired(Entry) &&
+           m_RowsReadAt - Entry.m_LastRenewedAt < m_Settings.m_LeaseTimeout / 2;
+  };
+  return m_IsComplete &&
+         std::none_of(m_Others.begin(), m_Others.end(), IsUnknown);
+}
+
 std::vector<EntryAddress> EntryRegistry::members() const {
   std::vector<EntryAddress> Members;
   bool IsMember = m_Registration.m_State != RegistrationState::Leaving &&
--- a/packages/membership/internal/entryregistry.h
+++ b/packages/membership/internal/entryregistry.h
@@ -45,7 +45,7 @@
   void recordCompleteList() override;
   void refresh() override;
   std::vector<EntryAddress> members() const override;
-  bool isComplete() const override { return m_IsComplete; }
+  bool isComplete() const override;
   bool isStoreAvailable() const override;
 
 private:
@@ -70,6 +70,7 @@
   void deleteExpiredRows();
   void recordAddress(const EntryAddress &Address);
   bool hasExpired(const OtherEntry &Entry) const;
+  void recordScan();
   void notifyIfChanged();
 
   const RegistrySettings m_Settings;
@@ -84,6 +85,8 @@
   bool m_IsComplete = false;
   bool m_IsCompletionNotified = false;
   TimePoint m_ScannedAt;
+  /// When the rows were last read with success.
+  TimePoint m_RowsReadAt;
   ChangeHook m_OnChange;
   TimerId m_Timer = 0;
   /// Expires with this object; replies of the store that arrive later are
--- a/packages/membership/tests/registry_test.cpp
+++ b/packages/membership/tests/registry_test.cpp
@@ -185,3 +185,23 @@
   m_Platform.answerAll();
   EXPECT_EQ(First->members().size(), 2u);
 }
+
+/// Guards against a cancel that is answered "no such job" while an entry runs
+/// it: entries cannot renew their rows while the store is down.
+TEST_F(RegistryTest, SilenceOfTheStoreIsNoSilenceOfItsEntries) {
+  auto First = startRegistry("entry-1", 1);
+  auto Second = startRegistry("entry-2", 2);
+  advance(seconds(3));
+  m_Platform.m_Fault = StoreFake::Fault::Down;
+  for (int I = 0; I < 30; ++I) {
+    advance(seconds(1));
+    EXPECT_TRUE(First->members().size() == 2 || !First->isComplete())
+        << "after " << I + 1 << " s";
+  }
+  m_Platform.m_Fault = StoreFake::Fault::None;
+  for (int I = 0; I < 10; ++I) {
+    advance(seconds(1));
+    EXPECT_TRUE(First->members().size() == 2 || !First->isComplete())
+        << I + 1 << " s after the outage";
+  }
+}
