Red test: the slot of a task whose answer was lost is given out again

After an execute call without an answer, the same instance's next announcement gives out all slots, while the task may still run; BACKEND.md promises never more at once than slots. A mend would keep the slot until the task's deadline, and change lostContactSuspendsCreditsUntilTheNextAnnouncement, which expects 4 credits of 4 then.

[ FAILED ] SlotServiceTest.lostAnswerKeepsItsSlotUntilTheTaskMustHaveEnded slotservice_test.cpp:367: Failure m_Slots.issuedCredits() Which is: 1, 0u

--- a/packages/slot/tests/slotservice_test.cpp
+++ b/packages/slot/tests/slotservice_test.cpp
@@ -355,3 +355,14 @@
   EXPECT_TRUE(m_Done.empty());
   EXPECT_EQ(m_Slots.issuedCredits(), 0u);
 }
+
+/// Guards against tasks beyond the slots: the task whose answer was lost may
+/// still run when the same instance announces itself.
+TEST_F(SlotServiceTest, lostAnswerKeepsItsSlotUntilTheTaskMustHaveEnded) {
+  link(EntryA);
+  serve(1);
+  TaskId Task = start(EntryA, m_Granted[EntryA][0].m_Id);
+  m_Executor.finish(Task, ResultCode::BackendLost);
+  serve(1);
+  EXPECT_EQ(m_Slots.issuedCredits(), 0u);
+}
