A graceful stop waits until responses are written

Callers of a server that stopped gracefully could lose the answer to a request that had been handled: at an entry the answer to its caller, at a backend server that uses this HTTP server the result of a task, which then counted as outcome unknown.

Cause: a request counted as over when its handler had returned, but the library writes the response only then. A stop, or the end of a drain, that waits for the count to reach zero could close the connection before or while it wrote.

A request is in progress now until the library reports it as completed: written, or broken. The connection identifies it, since one has one request at a time.

--- a/packages/http/httpserver.h
+++ b/packages/http/httpserver.h
@@ -51,7 +51,8 @@
   /// disconnected. Does not block; may be called from any thread.
   bool hasDisconnected(const HttpRequest &Request) const;
 
-  /// Number of requests in progress.
+  /// Number of requests in progress: those whose response hasn't been written
+  /// to its connection completely.
   std::size_t running() const;
 
   /// Makes each connection close after its next response.
--- a/packages/http/internal/httpserver.cpp
+++ b/packages/http/internal/httpserver.cpp
@@ -9,6 +9,7 @@
 #include <cstring>
 #include <list>
 #include <mutex>
+#include <set>
 #include <ulfius.h>
 
 namespace cyclamenwalk {
@@ -146,7 +147,7 @@
     // three.
     MHD_OptionItem Options[] = {
         {MHD_OPTION_NOTIFY_COMPLETED,
-         reinterpret_cast<std::intptr_t>(&mhd_request_completed), nullptr},
+         reinterpret_cast<std::intptr_t>(&Impl::onRequestCompleted), this},
         {MHD_OPTION_URI_LOG_CALLBACK,
          reinterpret_cast<std::intptr_t>(&ulfius_uri_logger), nullptr},
         {MHD_OPTION_SOCK_ADDR, 0, &m_Address.m_Value},
@@ -167,7 +168,7 @@
 
   std::size_t running() const {
     std::lock_guard<std::mutex> Lock(m_Mutex);
-    return m_RequestsInProgress;
+    return m_RequestsInProgress.size();
   }
 
   void closeConnectionsAfterResponse() {
@@ -178,7 +179,7 @@
   void stop(Duration Timeout) {
     std::unique_lock<std::mutex> Lock(m_Mutex);
     m_Idle.wait_for(Lock, Timeout,
-                    [this] { return m_RequestsInProgress == 0; });
+                    [this] { return m_RequestsInProgress.empty(); });
     if (!m_IsStarted)
       return;
     m_IsStarted = false;
@@ -209,6 +210,20 @@
       Watch.removeConnection(Id);
   }
 
+  /// Called after the response has been written, or could not be, and when a
+  /// connection breaks before its request is complete.
+  static void onRequestCompleted(void *Server,
+                                 struct MHD_Connection *Connection,
+                                 void **RequestData,
+                                 enum MHD_RequestTerminationCode Reason) {
+    mhd_request_completed(nullptr, Connection, RequestData, Reason);
+    auto *Caller =
+        MHD_get_connection_info(Connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+    if (Caller)
+      static_cast<Impl *>(Server)->endRequest(
+          connectionId(Caller->client_addr));
+  }
+
   static int onRequest(const struct _u_request *RawRequest,
                        struct _u_response *RawResponse, void *Data) {
     auto *Matched = static_cast<Route *>(Data);
@@ -218,8 +233,8 @@
 
   void serve(const Route &Matched, const struct _u_request &RawRequest,
              struct _u_response &RawResponse) {
-    bool IsClosing = beginRequest();
     HttpRequest Request = toRequest(RawRequest);
+    bool IsClosing = beginRequest(Request.m_ConnectionId);
     bool IsTooLarge = Request.m_Body.size() > m_Settings.m_BodyLimit;
     HttpResponse Response =
         handle(IsTooLarge && m_HandleTooLarge ? m_HandleTooLarge
@@ -228,7 +243,6 @@
     if (IsClosing)
       Response.m_Headers["Connection"] = "close";
     writeResponse(RawResponse, Response);
-    endRequest();
   }
 
   /// An exception must not reach the library, which is written in C. It costs
@@ -249,15 +263,16 @@
   }
 
   /// Whether the connection is to be closed after the response.
-  bool beginRequest() {
+  bool beginRequest(const std::string &ConnectionId) {
     std::lock_guard<std::mutex> Lock(m_Mutex);
-    ++m_RequestsInProgress;
+    m_RequestsInProgress.insert(ConnectionId);
     return m_IsClosing;
   }
 
-  void endRequest() {
+  void endRequest(const std::string &ConnectionId) {
     std::lock_guard<std::mutex> Lock(m_Mutex);
-    if (--m_RequestsInProgress == 0)
+    m_RequestsInProgress.erase(ConnectionId);
+    if (m_RequestsInProgress.empty())
       m_Idle.notify_all();
   }
 
@@ -270,7 +285,9 @@
   DisconnectWatch m_DisconnectWatch;
   mutable std::mutex m_Mutex;
   std::condition_variable m_Idle;
-  std::size_t m_RequestsInProgress = 0;
+  /// Ids of the connections whose request is being handled or whose response
+  /// is being written; a connection has one request at a time.
+  std::set<std::string> m_RequestsInProgress;
   bool m_IsClosing = false;
 };
 
--- a/packages/http/tests/http_test.cpp
+++ b/packages/http/tests/http_test.cpp
@@ -4,9 +4,12 @@
 #include "http/httpserver.h"
 #include "http/multiplexhttp.h"
 
+#include <arpa/inet.h>
 #include <future>
 #include <gtest/gtest.h>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 
 using namespace cyclamenwalk;
 
@@ -49,6 +52,46 @@
   return Request;
 }
 
+/// A caller that reads its response only when it is told to.
+class SlowCaller {
+public:
+  SlowCaller() : m_Socket(socket(AF_INET, SOCK_STREAM, 0)) {
+    // Keeps most of a large response on the server's side.
+    int BufferBytes = 4096;
+    setsockopt(m_Socket, SOL_SOCKET, SO_RCVBUF, &BufferBytes,
+               sizeof BufferBytes);
+    timeval ReceiveTimeout{10, 0};
+    setsockopt(m_Socket, SOL_SOCKET, SO_RCVTIMEO, &ReceiveTimeout,
+               sizeof ReceiveTimeout);
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_port = htons(18472);
+    inet_pton(AF_INET, "127.0.0.1", &Address.sin_addr);
+    m_IsConnected = connect(m_Socket, reinterpret_cast<sockaddr *>(&Address),
+                            sizeof Address) == 0;
+  }
+  ~SlowCaller() { close(m_Socket); }
+
+  bool send(const std::string &Text) const {
+    return m_IsConnected && write(m_Socket, Text.data(), Text.size()) ==
+                                static_cast<ssize_t>(Text.size());
+  }
+
+  /// Number of bytes until the server closes the connection, or is silent.
+  std::size_t receiveAll() const {
+    std::size_t Count = 0;
+    std::vector<char> Buffer(65536);
+    for (ssize_t Length = 0;
+         (Length = read(m_Socket, Buffer.data(), Buffer.size())) > 0;)
+      Count += static_cast<std::size_t>(Length);
+    return Count;
+  }
+
+private:
+  int m_Socket;
+  bool m_IsConnected = false;
+};
+
 } // namespace
 
 TEST(Http, routesRequestsAndRejectsLargeBodiesAndUnknownPaths) {
@@ -161,3 +204,29 @@
   HttpServer Second = makeServer();
   EXPECT_THROW(Second.start(), Error);
 }
+
+/// Guards against answers that a graceful stop cuts off: a request is in
+/// progress until its whole response has been written.
+TEST(Http, gracefulStopDeliversWholeResponses) {
+  constexpr std::size_t BodyBytes = 16 * 1024 * 1024;
+  HttpServer Server = makeServer();
+  std::promise<void> Handled;
+  Server.route("GET", "/large", [&Handled](const HttpRequest &) {
+    HttpResponse Response;
+    Response.m_Body.assign(BodyBytes, 'x');
+    Handled.set_value();
+    return Response;
+  });
+  Server.start();
+  Server.closeConnectionsAfterResponse();
+  SlowCaller Caller;
+  ASSERT_TRUE(Caller.send("GET /large HTTP/1.1\r\nHost: h\r\n\r\n"));
+  ASSERT_EQ(Handled.get_future().wait_for(seconds(5)),
+            std::future_status::ready);
+  std::thread Stop([&Server] { Server.stop(seconds(20)); });
+  // Time for the handler to return and for the server to stop.
+  std::this_thread::sleep_for(milliseconds(200));
+  EXPECT_EQ(Server.running(), 1u);
+  EXPECT_GT(Caller.receiveAll(), BodyBytes);
+  Stop.join();
+}
