The slot of a task whose answer was lost stays in use until the task has ended

A backend server of the product's own agent was given more tasks than it has slots: the answer to one was lost, the server announced itself again, and its slot was offered anew while the task might still run. No task ran twice.

Cause: the lost answer ended the execution at the agent, though it says only that the outcome is unknown.

A task that was never sent keeps no slot. A drain doesn't wait for unconfirmed tasks.

--- a/packages/agent/internal/backendcodec.cpp
+++ b/packages/agent/internal/backendcodec.cpp
@@ -81,7 +81,7 @@
 ExecutionResult decodeExecution(const HttpResponse &Response) {
   // Without a response it is unknown whether the task ran.
   if (Response.m_Status == 0)
-    return {ResultCode::BackendLost, ""};
+    return {ResultCode::BackendLost, "", Response.m_WasSent};
   if (Response.m_Status != HttpOk)
     return {ResultCode::TaskFailed, ""};
   Json Body = Json::parse(Response.m_Body, nullptr, false);
--- a/packages/agent/tests/backendcodec_test.cpp
+++ b/packages/agent/tests/backendcodec_test.cpp
@@ -93,3 +93,12 @@
   EXPECT_CALL(Control, send(_, _, _));
   Executor.stop("127.0.0.1:9", Task);
 }
+
+/// Guards against a slot that is held for a task that was never sent.
+TEST(BackendCodec, tellsTasksWithoutAnswerFromThoseThatWereNotSent) {
+  HttpResponse Response;
+  Response.m_Status = 0;
+  EXPECT_TRUE(decodeExecution(Response).m_WasSent);
+  Response.m_WasSent = false;
+  EXPECT_FALSE(decodeExecution(Response).m_WasSent);
+}
--- a/packages/slot/internal/lifecycles.h
+++ b/packages/slot/internal/lifecycles.h
@@ -51,16 +51,16 @@
   Start *m_Start = nullptr;
 };
 
-enum class ExecutionState { Running, Stopping, Ended };
-enum class ExecutionEvent { Overrun, Stop, Done, Lost };
+enum class ExecutionState { Running, Stopping, Unconfirmed, Ended };
+enum class ExecutionEvent { Overrun, Stop, Done, Unanswered, Lost };
 
 template <> struct ChartNames<ExecutionState> {
-  static constexpr std::array<std::string_view, 3> Values{"running", "stopping",
-                                                          "ended"};
+  static constexpr std::array<std::string_view, 4> Values{
+      "running", "stopping", "unconfirmed", "ended"};
 };
 template <> struct ChartNames<ExecutionEvent> {
-  static constexpr std::array<std::string_view, 4> Values{"overrun", "stop",
-                                                          "done", "lost"};
+  static constexpr std::array<std::string_view, 5> Values{
+      "overrun", "stop", "done", "unanswered", "lost"};
 };
 
 /// A task that occupies a slot.
--- a/packages/slot/internal/slotservice.cpp
+++ b/packages/slot/internal/slotservice.cpp
@@ -83,7 +83,9 @@
        {"requestStop",
         [this](Execution &E) { m_Executor.stop(E.m_Address, E.m_Task); }},
        {"reportResult", [this](Execution &E) { reportResult(E); }},
-       {"reportLost", ReportLost}});
+       {"reportUnanswered", [this](Execution &E) { sendResult(E, {}); }},
+       {"reportLost", ReportLost},
+       {"releaseSlot", [this](Execution &E) { releaseSlot(E); }}});
 }
 
 void SlotService::announce(const BackendOffer &Offer) {
@@ -275,8 +277,9 @@
   // server announces itself again.
   if (Result.m_Code == ResultCode::BackendLost)
     m_BackendChart.fire(m_Backend, BackendEvent::ContactLost);
+  bool MayRun = Result.m_Code == ResultCode::BackendLost && Result.m_WasSent;
   Ended->m_Result = std::move(Result);
-  fire(Ended, ExecutionEvent::Done);
+  fire(Ended, MayRun ? ExecutionEvent::Unanswered : ExecutionEvent::Done);
 }
 
 void SlotService::fire(const ExecutionPointer &Target, ExecutionEvent Event) {
@@ -284,20 +287,38 @@
 }
 
 void SlotService::reportResult(Execution &Ended) {
+  ExecutionPointer KeepAlive = removeExecution(Ended);
+  sendResult(Ended, distribute(Ended.m_Entry));
+}
+
+void SlotService::releaseSlot(Execution &Ended) {
+  ExecutionPointer KeepAlive = removeExecution(Ended);
+  logEvent(LogLevel::Info, "slot.released",
+           {{"task", toString(Ended.m_Task)},
+            {"held_ms", toMilliseconds(m_Timers.now() - Ended.m_StartedAt)}});
+  distributeIdleSlots();
+}
+
+SlotService::ExecutionPointer
+SlotService::removeExecution(const Execution &Ended) {
   auto It = m_Running.find(Ended.m_Task);
-  ExecutionPointer KeepAlive = It->second;
+  ExecutionPointer Removed = It->second;
   m_Running.erase(It);
   if (Ended.m_IsLong)
     --m_LongRunning;
   m_Timers.cancel(Ended.m_OverrunTimer);
   m_Timers.cancel(Ended.m_LostTimer);
+  return Removed;
+}
+
+void SlotService::sendResult(Execution &Ended, std::vector<Credit> Credits) {
   TaskDone Done;
   Done.m_Task = Ended.m_Task;
   Done.m_Credit = Ended.m_Credit;
   Done.m_Code = Ended.m_Result.m_Code;
   Done.m_Answer = std::move(Ended.m_Result.m_Answer);
   Done.m_RunTime = m_Timers.now() - Ended.m_StartedAt;
-  Done.m_Credits = distribute(Ended.m_Entry);
+  Done.m_Credits = std::move(Credits);
   m_Links.send(Ended.m_Entry, std::move(Done));
 }
 
@@ -350,7 +371,13 @@
 
 void SlotService::distributeIdleSlots() { distribute(Incarnation{}); }
 
-std::size_t SlotService::running() const { return m_Running.size(); }
+std::size_t SlotService::running() const {
+  auto Count =
+      std::count_if(m_Running.begin(), m_Running.end(), [](const auto &Item) {
+        return Item.second->m_State != ExecutionState::Unconfirmed;
+      });
+  return static_cast<std::size_t>(Count);
+}
 
 std::size_t SlotService::issuedCredits() const {
   return m_Credits.issuedCount();
--- a/packages/slot/internal/slotservice.h
+++ b/packages/slot/internal/slotservice.h
@@ -51,6 +51,9 @@
   void finishTask(const ExecutionPointer &Ended, ExecutionResult Result);
   void fire(const ExecutionPointer &Target, ExecutionEvent Event);
   void reportResult(Execution &Ended);
+  void releaseSlot(Execution &Ended);
+  ExecutionPointer removeExecution(const Execution &Ended);
+  void sendResult(Execution &Ended, std::vector<Credit> Credits);
   void failRunningTasks();
 
   std::uint32_t slots() const;
--- a/packages/slot/types/execution.h
+++ b/packages/slot/types/execution.h
@@ -22,6 +22,9 @@
 struct ExecutionResult {
   ResultCode m_Code = ResultCode::Ok;
   std::string m_Answer;
+  /// False when the task was never sent to the backend server, so that it
+  /// doesn't run there.
+  bool m_WasSent = true;
 };
 
 /// Periodic heartbeat of a backend server.
