An entry that was paused confirms nothing until it has caught up

The entry wakes, and answers the agents' messages that lay in its sockets before it learns of the lost caller. That confirmed it alive up to the end of the pause, and the stopped run's lease could last 1.15 s from there: longer than the caller waits before it sends its job again, if all orders to stop at that server are lost as well.

Cause: an echo says that a message was received, and was taken to say that all that happened before was handled. After a gap of three check periods (0.3 s on the platform) the links echo nothing for half a period, which is time for the events of the pause to be handled. Shorter pauses are not covered: they delay the end of a run by less than 0.3 s.

Evidence, on the code before: links_test.cpp:217, entryConfirmedAt() is later than PausedAt (Links.pausedEntryIsNotConfirmedAliveBeforeItHasCaughtUp).

--- a/packages/membership/internal/links.cpp
+++ b/packages/membership/internal/links.cpp
@@ -12,6 +12,10 @@
 /// zero stands for none.
 constexpr Duration ClockStep = milliseconds(1);
 
+/// This process was paused when its links had nothing to do for so many of
+/// their check periods.
+constexpr int PausedCheckPeriods = 3;
+
 } // namespace
 
 Links::Links(ProcessIdentity Identity, LinkSettings Settings,
@@ -127,7 +131,24 @@
                      });
 }
 
+/// After a pause, what happened meanwhile is learned in any order: messages of
+/// agents perhaps before the lost connection of a caller. Until that is over,
+/// nothing is echoed, so that no agent takes it for handled.
+void Links::recordActivity() {
+  TimePoint Now = m_Timers.now();
+  Duration Gap = Now - m_LastActiveAt;
+  bool WasPaused = !m_ByNumber.empty() &&
+                   Gap > PausedCheckPeriods * m_Settings.m_CheckPeriod;
+  m_LastActiveAt = Now;
+  if (!WasPaused)
+    return;
+  m_EchoesFrom = Now + m_Settings.m_CheckPeriod / 2;
+  logEvent(LogLevel::Warning, "process.was_paused",
+           {{"gap_ms", toMilliseconds(Gap)}});
+}
+
 void Links::receive(Envelope Incoming) {
+  recordActivity();
   bool IsForOtherIncarnation = Incoming.m_Receiver != Incarnation{} &&
                                Incoming.m_Receiver != m_Self.m_Incarnation;
   if (IsForOtherIncarnation)
@@ -228,6 +249,9 @@
 Links::LinkPointer Links::makeLink(const std::string &Address) {
   auto Link = std::make_shared<LinkEndpoint>();
   TimePoint Now = m_Timers.now();
+  // Without links there was nothing to do.
+  if (m_ByNumber.empty())
+    m_LastActiveAt = Now;
   Link->m_State = m_Chart.initial();
   Link->m_Channel = m_Transport.open(Address);
   Link->m_LastHeardAt = Link->m_LastSentAt = Link->m_LastConnectAt = Now;
@@ -239,6 +263,7 @@
 }
 
 void Links::check(std::uint32_t Number) {
+  recordActivity();
   auto It = m_ByNumber.find(Number);
   if (It != m_ByNumber.end())
     fire(LinkPointer(It->second), LinkEvent::Check);
@@ -377,7 +402,8 @@
   Outgoing.m_Receiver = Link.m_Peer.m_Incarnation;
   Outgoing.m_Link = Link.m_Number;
   Outgoing.m_SentAt = clockReading();
-  Outgoing.m_Echo = Link.m_PeerSentAt;
+  bool HasCaughtUp = m_Timers.now() >= m_EchoesFrom;
+  Outgoing.m_Echo = HasCaughtUp ? Link.m_PeerSentAt : Duration::zero();
   Outgoing.m_CallersSilence = callersSilence(Link);
   Outgoing.m_Message = std::move(Body);
   return Outgoing;
--- a/packages/membership/internal/links.h
+++ b/packages/membership/internal/links.h
@@ -33,6 +33,7 @@
 
   LinkChart bindChart(const IChartSource &Charts);
 
+  void recordActivity();
   void receive(Envelope Incoming);
   void receiveHello(const Envelope &Incoming, const Hello &Body);
   void acceptHello(const Envelope &Incoming, const Hello &Body);
@@ -86,6 +87,10 @@
   std::unordered_map<std::uint32_t, LinkPointer> m_ByNumber;
   std::unordered_map<Incarnation, LinkPointer> m_ByPeer;
   std::uint32_t m_NextNumber;
+  /// When a message was received or a link was checked last.
+  TimePoint m_LastActiveAt;
+  /// Until then this process doesn't confirm to its peers that it is alive.
+  TimePoint m_EchoesFrom;
 };
 
 } // namespace cyclamenwalk
--- a/packages/membership/tests/links_test.cpp
+++ b/packages/membership/tests/links_test.cpp
@@ -202,6 +202,24 @@
   EXPECT_LE(Pair.entryConfirmedAt(), SentAt);
 }
 
+/// Guards against tasks that run twice: an entry that wakes up confirms that it
+/// was alive before it has learned that a caller's connection broke meanwhile.
+TEST(Links, pausedEntryIsNotConfirmedAliveBeforeItHasCaughtUp) {
+  LinkPair Pair(shortPeriods());
+  Pair.connect();
+  Pair.advance(milliseconds(400));
+  TimePoint PausedAt = Pair.m_Timers.now();
+  Pair.m_Timers.pause(milliseconds(350));
+  Pair.sendFromAgent(1);
+  LinkPair::moveMessages(Pair.m_Agent.m_Transport, Pair.m_Entry);
+  Pair.sendFromEntry(1);
+  LinkPair::moveMessages(Pair.m_Entry.m_Transport, Pair.m_Agent);
+  EXPECT_LE(Pair.entryConfirmedAt(), PausedAt);
+  Pair.advance(milliseconds(200));
+  EXPECT_GT(Pair.entryConfirmedAt(), PausedAt);
+  EXPECT_EQ(Pair.m_Agent.m_DownCount, 0);
+}
+
 TEST(Links, agentOfAnIdleLinkKnowsThatItsEntryIsAlive) {
   LinkPair Pair(shortPeriods());
   Pair.connect();
