HTTP servers use poll, so that they serve with more than 1,024 descriptors

Cause: the library was started without poll, and select() takes no descriptor of 1,024 or more.

Evidence, on the code before: Http.servesWithDescriptorsAboveThoseOfSelect throws "cannot listen on 127.0.0.1:18472".

--- a/packages/http/internal/httpserver.cpp
+++ b/packages/http/internal/httpserver.cpp
@@ -157,8 +157,9 @@
         {MHD_OPTION_CONNECTION_TIMEOUT, static_cast<std::intptr_t>(IdleSeconds),
          nullptr},
         {MHD_OPTION_END, 0, nullptr}};
-    unsigned Flags =
-        MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD;
+    // select(), the default, takes no descriptor of 1024 or more.
+    unsigned Flags = MHD_USE_THREAD_PER_CONNECTION | MHD_USE_POLL |
+                     MHD_USE_INTERNAL_POLLING_THREAD;
     if (ulfius_start_framework_with_mhd_options(&m_Instance, Flags, Options) !=
         U_OK)
       throw Error(ResultCode::ListenFailed,
--- a/packages/http/tests/http_test.cpp
+++ b/packages/http/tests/http_test.cpp
@@ -7,6 +7,7 @@
 #include <arpa/inet.h>
 #include <future>
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -230,3 +231,26 @@
   EXPECT_GT(Caller.receiveAll(), BodyBytes);
   Stop.join();
 }
+
+/// Guards against a server that cannot listen, or answers nobody, in a process
+/// with more open descriptors than select() takes.
+TEST(Http, servesWithDescriptorsAboveThoseOfSelect) {
+  constexpr int OtherDescriptors = 1100;
+  constexpr rlim_t DescriptorsNeeded = 2048;
+  rlimit Limit{};
+  ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &Limit), 0);
+  ASSERT_GE(Limit.rlim_max, DescriptorsNeeded);
+  Limit.rlim_cur = std::max(Limit.rlim_cur, DescriptorsNeeded);
+  ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &Limit), 0);
+  std::vector<int> Others;
+  for (int I = 0; I < OtherDescriptors; ++I)
+    Others.push_back(dup(STDERR_FILENO));
+  HttpServer Server = makeServer();
+  Server.start();
+  SlowCaller Caller;
+  EXPECT_TRUE(Caller.send("POST /echo/n HTTP/1.1\r\nHost: h\r\n"
+                          "Content-Length: 0\r\nConnection: close\r\n\r\n"));
+  EXPECT_GT(Caller.receiveAll(), 0u);
+  for (int Descriptor : Others)
+    close(Descriptor);
+}
