An entry that ends answers the cancels that still wait for a member

An entry that was stopped gracefully while a cancel waited for a member that did not reply stayed up to 1.7 s after its loop had ended: its listener took connections, nobody served them, and their callers got no answer when the process exited. The cancel's caller got none either.

Cause: the search ends by a timer, up to 3.75 s after its start, and no timer runs once the loop has ended. The thread of the request waited on, and the server's stop waits for that thread. It needs a stop that reaches the drain limit, as cancels that wait hold the drain up.

The search is closed now when the entry leaves: those without an answer get 504 (3007, the job may run), and so does each later one.

JobLookupTest.AnEntryThatLeavesAnswersTheCancelsThatWait did not exist before, as there was nothing to close.

--- a/packages/forward/ijoblookup.h
+++ b/packages/forward/ijoblookup.h
@@ -30,6 +30,10 @@
   virtual void find(const std::string &Name, Duration Within,
                     Callback Done) = 0;
 
+  /// Ends all searches, with LookupIncomplete where there is no answer yet, and
+  /// each later one at once. For a process that is about to end.
+  virtual void close() = 0;
+
   virtual void entryUp(const Peer &Entry) = 0;
   virtual void entryDown(const Peer &Entry) = 0;
 
--- a/packages/forward/internal/joblookup.cpp
+++ b/packages/forward/internal/joblookup.cpp
@@ -79,9 +79,18 @@
   updateMembers(*Item);
   if (findHere(Name, IsCancellation))
     fire(Item, LookupEvent::Found);
+  if (m_IsClosed)
+    return fire(Item, LookupEvent::TimeUp);
   advance(Item);
 }
 
+void JobLookup::close() {
+  m_IsClosed = true;
+  auto Lookups = m_Lookups;
+  for (const auto &Item : Lookups)
+    fire(Item.second, LookupEvent::TimeUp);
+}
+
 bool JobLookup::findHere(const std::string &Name, bool IsCancellation) {
   if (!IsCancellation)
     return m_Dependencies.m_Jobs.isRunning(Name);
--- a/packages/forward/internal/joblookup.h
+++ b/packages/forward/internal/joblookup.h
@@ -57,6 +57,7 @@
 
   void cancel(const std::string &Name, Duration Within, Callback Done) override;
   void find(const std::string &Name, Duration Within, Callback Done) override;
+  void close() override;
   void entryUp(const Peer &Entry) override;
   void entryDown(const Peer &Entry) override;
   bool receive(Incarnation Entry, Message &Body) override;
@@ -93,6 +94,7 @@
   std::set<Incarnation> m_Linked;
   std::map<std::uint64_t, LookupPointer> m_Lookups;
   std::uint64_t m_LastRequest = 0;
+  bool m_IsClosed = false;
 };
 
 } // namespace cyclamenwalk
--- a/packages/forward/tests/joblookup_test.cpp
+++ b/packages/forward/tests/joblookup_test.cpp
@@ -127,6 +127,21 @@
   EXPECT_EQ(m_Codes, std::vector{ResultCode::JobNotKnown});
 }
 
+/// Guards against an entry that cannot end, and answers nobody meanwhile,
+/// because a cancel waits for a member that does not reply.
+TEST_F(JobLookupTest, AnEntryThatLeavesAnswersTheCancelsThatWait) {
+  addMembers({Second});
+  link({Second});
+  cancel();
+  m_Lookup->close();
+  EXPECT_EQ(m_Codes, std::vector{ResultCode::LookupIncomplete});
+  cancel();
+  EXPECT_EQ(m_Codes.size(), 2u);
+  reply(0, false);
+  m_Timers.advance(Within);
+  EXPECT_EQ(m_Codes.size(), 2u);
+}
+
 /// Cancels whose owner was frozen were answered 410 after 500 ms.
 TEST_F(JobLookupTest, SilenceIsNoDenial) {
   addMembers({Second, Third});
--- a/packages/forward/tests/mocks/joblookupmock.h
+++ b/packages/forward/tests/mocks/joblookupmock.h
@@ -13,6 +13,7 @@
               (override));
   MOCK_METHOD(void, find, (const std::string &, Duration, Callback),
               (override));
+  MOCK_METHOD(void, close, (), (override));
   MOCK_METHOD(void, entryUp, (const Peer &), (override));
   MOCK_METHOD(void, entryDown, (const Peer &), (override));
   MOCK_METHOD(bool, receive, (Incarnation, Message &), (override));
