A drain doesn't wait for responses to be written, only the stop does

The mend counted requests as in progress until their response was written, also for the drain. Beside callers that are refused and ask again at once, the drain might never see an idle moment and end at its limit.

running() counts handlers again, as before, and stop() waits for the connections whose responses are not written yet.

--- a/packages/http/httpserver.h
+++ b/packages/http/httpserver.h
@@ -51,15 +51,15 @@
   /// disconnected. Does not block; may be called from any thread.
   bool hasDisconnected(const HttpRequest &Request) const;
 
-  /// Number of requests in progress: those whose response hasn't been written
-  /// to its connection completely.
+  /// Number of requests whose handler runs. The response may not have been
+  /// written when it has ended; stop() waits for that.
   std::size_t running() const;
 
   /// Makes each connection close after its next response.
   void closeConnectionsAfterResponse();
 
-  /// Waits until no request is in progress, at most \p Timeout, then closes all
-  /// connections.
+  /// Waits until all responses have been written, at most \p Timeout, then
+  /// closes all connections.
   void stop(Duration Timeout);
 
 private:
--- a/packages/http/internal/httpserver.cpp
+++ b/packages/http/internal/httpserver.cpp
@@ -169,7 +169,7 @@
 
   std::size_t running() const {
     std::lock_guard<std::mutex> Lock(m_Mutex);
-    return m_RequestsInProgress.size();
+    return m_RunningHandlers;
   }
 
   void closeConnectionsAfterResponse() {
@@ -180,7 +180,7 @@
   void stop(Duration Timeout) {
     std::unique_lock<std::mutex> Lock(m_Mutex);
     m_Idle.wait_for(Lock, Timeout,
-                    [this] { return m_RequestsInProgress.empty(); });
+                    [this] { return m_UnansweredConnections.empty(); });
     if (!m_IsStarted)
       return;
     m_IsStarted = false;
@@ -221,7 +221,7 @@
     auto *Caller =
         MHD_get_connection_info(Connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
     if (Caller)
-      static_cast<Impl *>(Server)->endRequest(
+      static_cast<Impl *>(Server)->recordAnswered(
           connectionId(Caller->client_addr));
   }
 
@@ -244,6 +244,7 @@
     if (IsClosing)
       Response.m_Headers["Connection"] = "close";
     writeResponse(RawResponse, Response);
+    endHandler();
   }
 
   /// An exception must not reach the library, which is written in C. It costs
@@ -266,14 +267,20 @@
   /// Whether the connection is to be closed after the response.
   bool beginRequest(const std::string &ConnectionId) {
     std::lock_guard<std::mutex> Lock(m_Mutex);
-    m_RequestsInProgress.insert(ConnectionId);
+    ++m_RunningHandlers;
+    m_UnansweredConnections.insert(ConnectionId);
     return m_IsClosing;
   }
 
-  void endRequest(const std::string &ConnectionId) {
+  void endHandler() {
     std::lock_guard<std::mutex> Lock(m_Mutex);
-    m_RequestsInProgress.erase(ConnectionId);
-    if (m_RequestsInProgress.empty())
+    --m_RunningHandlers;
+  }
+
+  void recordAnswered(const std::string &ConnectionId) {
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    m_UnansweredConnections.erase(ConnectionId);
+    if (m_UnansweredConnections.empty())
       m_Idle.notify_all();
   }
 
@@ -286,9 +293,10 @@
   DisconnectWatch m_DisconnectWatch;
   mutable std::mutex m_Mutex;
   std::condition_variable m_Idle;
+  std::size_t m_RunningHandlers = 0;
   /// Ids of the connections whose request is being handled or whose response
   /// is being written; a connection has one request at a time.
-  std::set<std::string> m_RequestsInProgress;
+  std::set<std::string> m_UnansweredConnections;
   bool m_IsClosing = false;
 };
 
