--- a/packages/membership/internal/links.cpp
+++ b/packages/membership/internal/links.cpp
@@ -12,9 +12,9 @@
 /// zero stands for none.
 constexpr Duration ClockStep = milliseconds(1);
 
-/// This process was paused when its links had nothing to do for so many of
-/// their check periods.
-constexpr int PausedCheckPeriods = 3;
+/// A longer gap, in check periods, between two events of the links means that
+/// this process was paused.
+constexpr int MaxActivityGap = 3;
 
 } // namespace
 
@@ -137,8 +137,8 @@
 void Links::recordActivity() {
   TimePoint Now = m_Timers.now();
   Duration Gap = Now - m_LastActiveAt;
-  bool WasPaused = !m_ByNumber.empty() &&
-                   Gap > PausedCheckPeriods * m_Settings.m_CheckPeriod;
+  bool WasPaused =
+      !m_ByNumber.empty() && Gap > MaxActivityGap * m_Settings.m_CheckPeriod;
   m_LastActiveAt = Now;
   if (!WasPaused)
     return;
