--- a/packages/http/tests/http_test.cpp
+++ b/packages/http/tests/http_test.cpp
@@ -243,6 +243,7 @@
   Limit.rlim_cur = std::max(Limit.rlim_cur, DescriptorsNeeded);
   ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &Limit), 0);
   std::vector<int> Others;
+  Others.reserve(OtherDescriptors);
   for (int I = 0; I < OtherDescriptors; ++I)
     Others.push_back(dup(STDERR_FILENO));
   HttpServer Server = makeServer();
