--- a/packages/http/tests/http_test.cpp
+++ b/packages/http/tests/http_test.cpp
@@ -206,8 +206,8 @@
   EXPECT_THROW(Second.start(), Error);
 }
 
-/// Guards against answers that a graceful stop cuts off: a request is in
-/// progress until its whole response has been written.
+/// Guards against answers that a graceful stop cuts off: it waits until whole
+/// responses have been written, also after their handlers have returned.
 TEST(Http, gracefulStopDeliversWholeResponses) {
   constexpr std::size_t BodyBytes = 16 * 1024 * 1024;
   HttpServer Server = makeServer();
@@ -225,9 +225,11 @@
   ASSERT_EQ(Handled.get_future().wait_for(seconds(5)),
             std::future_status::ready);
   std::thread Stop([&Server] { Server.stop(seconds(20)); });
-  // Time for the handler to return and for the server to stop.
-  std::this_thread::sleep_for(milliseconds(200));
+  for (int I = 0; I < 500 && Server.running() > 0; ++I)
+    std::this_thread::sleep_for(milliseconds(10));
   EXPECT_EQ(Server.running(), 0u) << "a drain doesn't wait for slow callers";
+  // Time for a stop that doesn't wait to close the connection.
+  std::this_thread::sleep_for(milliseconds(200));
   EXPECT_GT(Caller.receiveAll(), BodyBytes);
   Stop.join();
 }
--- a/packages/membership/internal/links.cpp
+++ b/packages/membership/internal/links.cpp
@@ -16,6 +16,10 @@
 /// this process was paused.
 constexpr int MaxActivityGap = 3;
 
+/// The part of a check period in which a process handles what happened during
+/// its pause.
+constexpr double CatchUpShare = 0.5;
+
 } // namespace
 
 Links::Links(ProcessIdentity Identity, LinkSettings Settings,
@@ -131,9 +135,9 @@
                      });
 }
 
-/// After a pause, what happened meanwhile is learned in any order: messages of
-/// agents perhaps before the lost connection of a caller. Until that is over,
-/// nothing is echoed, so that no agent takes it for handled.
+/// After a pause, a process may receive the messages of agents before it learns
+/// that a caller's connection broke meanwhile. It echoes nothing until it has
+/// had time for both, since an echo says that its earlier decisions were sent.
 void Links::recordActivity() {
   TimePoint Now = m_Timers.now();
   Duration Gap = Now - m_LastActiveAt;
@@ -142,7 +146,7 @@
   m_LastActiveAt = Now;
   if (!WasPaused)
     return;
-  m_EchoesFrom = Now + m_Settings.m_CheckPeriod / 2;
+  m_EchoesFrom = Now + scaled(m_Settings.m_CheckPeriod, CatchUpShare);
   logEvent(LogLevel::Warning, "process.was_paused",
            {{"gap_ms", toMilliseconds(Gap)}});
 }
