Evacuation of a failure domain, on request of the operator

Cause: requests to evacuate a failure domain were read by nobody, so tasks went on starting there.

Change: entries follow the requests in the store with the configuration and pass the set of domains, exact as of a version of the store, on to entries and agents. An agent of such a domain starts nothing, returns what waits and reports that it accepts nothing.

--- a/models/check.sh
+++ b/models/check.sh
@@ -52,7 +52,7 @@
   [ "$mutant" = MUTANT_REFUSAL_NOT_MATCHED ] && bound=(TWO_CREDITS)
   report broken start "$mutant" "${bound[@]}"
 done
-for model in claim configuration drain forward; do
+for model in claim configuration drain evacuation forward; do
   report holds "$model"
   for mutant in $(mutants "$model"); do
     report broken "$model" "$mutant"
--- a/packages/message/types/messages.h
+++ b/packages/message/types/messages.h
@@ -155,6 +155,13 @@
   std::string m_Text;
 };
 
+/// To entries and agents: the failure domains in which no task is started, as
+/// of a version of the store.
+struct EvacuationNotice {
+  std::uint64_t m_Version = 0;
+  std::vector<std::string> m_Domains;
+};
+
 /// Entry to entry: does the asked entry run the job with this name? An entry
 /// that is not the asked one passes the message on to it.
 struct FindJob {
@@ -188,7 +195,7 @@
                  ConfigurationBody, WorkerReport, PlaceTasks, RunResults,
                  DeadlineMissForecast, FindJob, FindJobReply, ReportInterval,
                  PlacerState, ForwardJob, ForwardedJobAnswer,
-                 CancelForwardedJob>;
+                 CancelForwardedJob, EvacuationNotice>;
 
 /// A message with the fields that a link needs to deliver it exactly once and
 /// in order.
--- a/packages/metrics/internal/metricsregistry.cpp
+++ b/packages/metrics/internal/metricsregistry.cpp
@@ -57,6 +57,9 @@
     {"orders_not_sent", "Orders that were never written to a connection."},
     {"order_repeats_prevented",
      "Orders whose connection broke and that were not sent a second time."},
+    {"evacuation_changes", "Changes of the evacuated failure domains."},
+    {"evacuation_refusals",
+     "Tasks returned because their failure domain is evacuated."},
 }};
 
 constexpr std::size_t LatencyCount = static_cast<std::size_t>(Timing::Count);
--- a/packages/protocol/internal/fields.h
+++ b/packages/protocol/internal/fields.h
@@ -66,6 +66,10 @@
 void visitFields(ConfigurationBody &Value, Call &&Visit) {
   Visit(Value.m_Version, Value.m_Text);
 }
+template <typename Call>
+void visitFields(EvacuationNotice &Value, Call &&Visit) {
+  Visit(Value.m_Version, Value.m_Domains);
+}
 template <typename Call> void visitFields(Resources &Value, Call &&Visit) {
   Visit(Value.m_MilliCores, Value.m_MemoryMb, Value.m_Gpus);
 }
--- a/packages/worker/internal/backendsession.cpp
+++ b/packages/worker/internal/backendsession.cpp
@@ -217,6 +217,12 @@
     fireRun(Candidate, RunEvent::Expire, DropRequest);
 }
 
+std::size_t BackendSession::returnWaitingRuns() {
+  std::size_t Before = m_Runs.size();
+  dropWaitingRuns();
+  return Before - m_Runs.size();
+}
+
 bool BackendSession::placeTask(const std::shared_ptr<const PlacedJob> &Job,
                                PlacedTask Task) {
   std::string Name = Job->m_Name + "." + std::to_string(Task.m_Index);
@@ -264,7 +270,8 @@
 }
 
 void BackendSession::startWaitingRuns() {
-  while (isServing() && m_Runs.activeCount() < m_Health.runLimit()) {
+  bool AllowsStarts = isServing() && m_Hooks.m_AllowsStarts();
+  while (AllowsStarts && m_Runs.activeCount() < m_Health.runLimit()) {
     RunPointer Next =
         m_Runs.nextToStart(m_Timers.now(), [this](const Run &Waiting) {
           return mayStart(Waiting);
@@ -279,7 +286,7 @@
     fireRun(Next, IsExpired ? RunEvent::Expire : RunEvent::Start, QueueTimeout);
   }
   // Runs that were queued again meanwhile may start at another worker.
-  if (!isServing())
+  if (!isServing() || !m_Hooks.m_AllowsStarts())
     dropWaitingRuns();
   m_Hooks.m_Changed();
 }
--- a/packages/worker/internal/backendsession.h
+++ b/packages/worker/internal/backendsession.h
@@ -24,6 +24,8 @@
     std::function<void(const Run &)> m_DeadlineUnreachable;
     /// The latest end of runs that the entry has placed.
     std::function<TimePoint(Incarnation Entry)> m_RunLimit;
+    /// Whether runs may be started at all.
+    std::function<bool()> m_AllowsStarts;
   };
 
   /// \p LeaseEndsAt: the latest end of a lease from an earlier session.
@@ -65,6 +67,9 @@
   /// Stops the runs for which \p Matches returns true.
   void stopRuns(const std::function<bool(const Run &)> &Matches);
 
+  /// Returns the waiting runs to their entries. Returns their number.
+  std::size_t returnWaitingRuns();
+
   /// Lets the lease end by \p EndBy unless the runs for which \p Matches
   /// returns true have ended before. Returns their number.
   std::size_t limitRuns(const std::function<bool(const Run &)> &Matches,
--- a/packages/worker/internal/workerservice.cpp
+++ b/packages/worker/internal/workerservice.cpp
@@ -45,7 +45,9 @@
 WorkerService::WorkerService(WorkerSettings Settings,
                              WorkerDependencies Dependencies)
     : m_Settings(Settings), m_Dependencies(std::move(Dependencies)),
-      m_Timers(m_Dependencies.m_Timers) {
+      m_Timers(m_Dependencies.m_Timers),
+      m_EvacuationChart(bindEvacuation(m_Dependencies.m_Charts)) {
+  m_Evacuation.m_State = m_EvacuationChart.initial();
   m_OverdueTimer = m_Timers.subscribeEvery(m_Settings.m_OverdueReportPeriod,
                                            [this] { checkOverdueRuns(); });
 }
@@ -56,6 +58,14 @@
   m_Timers.cancel(m_OverdueTimer);
 }
 
+EvacuationChart WorkerService::bindEvacuation(const IChartSource &Charts) {
+  return EvacuationChart(
+      Charts.chart("evacuation"), {},
+      {{"returnWaitingRuns",
+        [this](EvacuationContext &) { returnWaitingRuns(); }},
+       {"reportChange", [this](EvacuationContext &) { recordChange(); }}});
+}
+
 WorkerService::SessionPointer
 WorkerService::findSession(const std::string &Instance) const {
   for (const SessionPointer &Session : m_Sessions)
@@ -95,7 +105,8 @@
           [this](const Run &Ended) { recordResult(Ended); },
           [this] { handleSessionChange(); },
           [this](const Run &Late) { reportDeadlineMiss(Late); },
-          [this](Incarnation Entry) { return runLimit(Entry); }}));
+          [this](Incarnation Entry) { return runLimit(Entry); },
+          [this] { return !isEvacuated(); }}));
 }
 
 void WorkerService::handleSessionChange() {
@@ -140,6 +151,21 @@
   recordChange();
 }
 
+void WorkerService::setEvacuated(bool IsEvacuated) {
+  m_EvacuationChart.fire(m_Evacuation, IsEvacuated ? EvacuationEvent::Evacuate
+                                                   : EvacuationEvent::Withdraw);
+}
+
+/// Their entries place the tasks in another failure domain.
+void WorkerService::returnWaitingRuns() {
+  std::size_t Count = 0;
+  for (const SessionPointer &Session : std::vector(m_Sessions))
+    Count += Session->returnWaitingRuns();
+  m_Dependencies.m_Metrics.count(Metric::EvacuationRefusals, Count);
+  logEvent(LogLevel::Info, "evacuation.runs_returned",
+           {{"returned", Count}, {"in_progress", running()}});
+}
+
 void WorkerService::entryUp(const Peer &Entry) {
   m_Entries[Entry.m_Incarnation] = {};
   recordChange();
@@ -226,8 +252,11 @@
 void WorkerService::receivePlacement(Incarnation Entry, PlaceTasks &Body) {
   m_Entries[Entry].m_PlacementsSeen += Body.m_Tasks.size();
   SessionPointer Session = currentSession();
+  if (isEvacuated())
+    m_Dependencies.m_Metrics.count(Metric::EvacuationRefusals,
+                                   Body.m_Tasks.size());
   bool IsAccepting = Session && Session->isServing() && !m_IsDraining &&
-                     !m_Entries[Entry].m_IsWithdrawn &&
+                     !isEvacuated() && !m_Entries[Entry].m_IsWithdrawn &&
                      Session->announcement().m_Service == Body.m_Service;
   if (!IsAccepting)
     return refuseTasks(Entry, Body, Body.m_Tasks);
@@ -261,7 +290,8 @@
             {"service", Body.m_Service},
             {"tasks", Tasks.size()},
             {"max_wait_ms", toMilliseconds(Body.m_MaxWait)},
-            {"draining", m_IsDraining ? "yes" : "no"}});
+            {"draining", m_IsDraining ? "yes" : "no"},
+            {"evacuated", isEvacuated() ? "yes" : "no"}});
   for (const PlacedTask &Task : Tasks)
     m_Entries[Entry].m_RunResults.push_back(
         {Body.m_Job, Task.m_Index, Task.m_Run, RunOutcome::NotStarted, {}, {}});
@@ -315,7 +345,8 @@
   WorkerReport Report;
   if (SessionPointer Session = currentSession())
     Report = Session->report();
-  Report.m_IsAccepting = Report.m_IsAccepting && !m_IsDraining;
+  Report.m_IsAccepting =
+      Report.m_IsAccepting && !m_IsDraining && !isEvacuated();
   Duration Delay = Duration::max();
   for (auto &Item : m_Entries) {
     sendReportIfDue(Item.first, Item.second, Report);
--- a/packages/worker/internal/workerservice.h
+++ b/packages/worker/internal/workerservice.h
@@ -2,6 +2,7 @@
 #define CYCLAMENWALK_WORKER_INTERNAL_WORKERSERVICE_H
 
 #include "worker/internal/backendsession.h"
+#include "worker/internal/evacuationchart.h"
 
 #include <map>
 
@@ -15,6 +16,7 @@
   void announce(const BackendAnnouncement &Announcement) override;
   void deregister(const std::string &Instance) override;
   void drain() override;
+  void setEvacuated(bool IsEvacuated) override;
   void entryUp(const Peer &Entry) override;
   void entryDown(const Peer &Entry) override;
   void receive(Incarnation Entry, Message &Body) override;
@@ -38,6 +40,11 @@
     bool m_IsWithdrawn = false;
   };
 
+  EvacuationChart bindEvacuation(const IChartSource &Charts);
+  bool isEvacuated() const {
+    return m_Evacuation.m_State == EvacuationCondition::Evacuated;
+  }
+  void returnWaitingRuns();
   SessionPointer findSession(const std::string &Instance) const;
   SessionPointer currentSession() const;
   void openSession(const BackendAnnouncement &Announcement);
@@ -72,6 +79,8 @@
   std::uint64_t m_HighestToken = 0;
   /// The latest end of a lease from the sessions that have ended.
   TimePoint m_LeaseEndsAt;
+  const EvacuationChart m_EvacuationChart;
+  EvacuationContext m_Evacuation;
   bool m_IsDraining = false;
   TimerId m_ReportTimer = 0;
   TimerId m_OverdueTimer = 0;
--- a/packages/worker/iworkerservice.h
+++ b/packages/worker/iworkerservice.h
@@ -23,6 +23,10 @@
   /// Accepts no new tasks; runs in progress continue.
   virtual void drain() = 0;
 
+  /// While \p IsEvacuated, starts nothing, returns the tasks that wait and
+  /// accepts no new ones; runs in progress continue.
+  virtual void setEvacuated(bool IsEvacuated) = 0;
+
   virtual void entryUp(const Peer &Entry) = 0;
   /// Stops all runs that the entry has placed here.
   virtual void entryDown(const Peer &Entry) = 0;
--- a/scripts/checkmodels.py
+++ b/scripts/checkmodels.py
@@ -9,7 +9,7 @@
 SCXML = "{http://www.w3.org/2005/07/scxml}"
 MAPPED_CHARTS = {"task", "credit", "execution", "claim", "request", "apply",
                  "configuration", "backend", "process", "job",
-                 "forwardedjob", "ownedjob", "run", "session", "stoppingrun"}
+                 "evacuation", "forwardedjob", "ownedjob", "run", "session", "stoppingrun"}
 
 
 def transitions(chart):
--- a/scripts/checkshape.py
+++ b/scripts/checkshape.py
@@ -7,6 +7,7 @@
 
 DECISION_PACKAGES = ["core", "statechart", "message", "policy", "job",
                      "request", "slot", "membership", "configuration", "batch",
+                     "evacuation",
                      "worker", "store", "forward"]
 FORBIDDEN_HEADERS = re.compile(
     r'#include [<"](msgpack|nng/|ulfius|nlohmann|ini\.h|pugixml|http/|'
--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -70,8 +70,8 @@
     int Calls = IsEntry ? BasePort : AgentPort + Index;
     int Messages = IsEntry ? BasePort + 1 : AgentPort + 20 + Index;
     std::ofstream Stream(File);
-    Stream << "[process]\nname = " << Name
-           << "\nfailure_domain = z\ncharts = " << CW_CHART_DIR
+    Stream << "[process]\nname = " << Name << "\nfailure_domain = z" << Index
+           << "\ncharts = " << CW_CHART_DIR
            << "\n[listen]\nmessages = " << address(Messages)
            << "\ncalls = " << address(Calls)
            << "\nmetrics = " << address(MetricsPort + (IsEntry ? 0 : 1 + Index))
@@ -80,6 +80,8 @@
       Stream << "readiness = " << address(BasePort + 2) << "\n";
     Stream << "[entries]\nseeds = " << address(BasePort + 1)
            << "\n[store]\naddress = " << address(StorePort) << "\n";
+    if (IsEntry)
+      Stream << "[bounds]\nevacuation = 5000ms\n";
     Stream.close();
     return start({std::string(CW_BINARY_DIR) + "/cyclamenwalk-site", Role},
                  Name, File);
@@ -96,18 +98,36 @@
     Json Configuration{{"version", 3},
                        {"routes", {Route}},
                        {"services", {{{"name", "gatepost"}}}}};
+    return transact({{{"table", "op"},
+                      {"part", ""},
+                      {"key", "config"},
+                      {"value", toBase64(Configuration.dump())}}},
+                    Json::array());
+  }
+
+  static bool requestEvacuation(const std::string &Domain) {
+    return transact({{{"table", "op"},
+                      {"part", ""},
+                      {"key", "evacuate/" + Domain},
+                      {"value", toBase64("{}")}}},
+                    Json::array());
+  }
+
+  static bool withdrawEvacuation(const std::string &Domain) {
+    return transact(
+        Json::array(),
+        {{{"table", "op"}, {"part", ""}, {"key", "evacuate/" + Domain}}});
+  }
+
+  static bool transact(const Json &Writes, const Json &Removals) {
     HttpRequest Request;
     Request.m_Method = "POST";
     Request.m_Url = "http://" + address(StorePort) + "/rows-tx";
     Request.m_Body = Json{
         {"expected-revision", Json::array()},
-        {"set-keys",
-         {{{"table", "op"},
-           {"part", ""},
-           {"key", "config"},
-           {"value", toBase64(Configuration.dump())}}}},
+        {"set-keys", Writes},
         {"remove",
-         Json::array()}}.dump();
+         Removals}}.dump();
     return sendHttpRequest(Request, seconds(1)).m_Status == 200;
   }
 
@@ -117,6 +137,21 @@
     return sendHttpRequest(Request, seconds(1)).m_Status == 200;
   }
 
+  /// The number of runs that an agent has started, by its metrics.
+  static double startsOfAgent(int Index) {
+    HttpRequest Request;
+    Request.m_Url = "http://" + address(MetricsPort + 1 + Index) + "/metrics";
+    std::string Text = sendHttpRequest(Request, seconds(1)).m_Body;
+    auto Line = Text.find("\ncyclamenwalk_starts_executed_total{");
+    auto Value = Text.find("} ", Line);
+    return Value == std::string::npos ? 0 : std::stod(Text.substr(Value + 2));
+  }
+
+  std::string readLog(const std::string &Process) const {
+    std::ifstream Stream(m_Folder + "/" + Process + ".log");
+    return {std::istreambuf_iterator<char>(Stream), {}};
+  }
+
   template <typename Predicate> static void waitUntil(Predicate Condition) {
     TimePoint End = Clock::now() + ReadyTimeout;
     while (!Condition()) {
@@ -203,3 +238,26 @@
   EXPECT_EQ(FirstResponse.get().m_Status, 200);
   EXPECT_EQ(m_Entry->wait(seconds(6)), 0);
 }
+
+/// The domain of one agent is evacuated and taken back, while the other agent
+/// serves. The agent restarts meanwhile and learns of it again.
+TEST_F(PlatformTest, evacuatedDomainStartsNothingUntilItIsWithdrawn) {
+  auto KnowsChange = [this] {
+    return readLog("agent-0").find("evacuation.changed") != std::string::npos;
+  };
+  ASSERT_TRUE(requestEvacuation("z0"));
+  waitUntil(KnowsChange);
+  double Before = startsOfAgent(0);
+  EXPECT_EQ(submit("00000000000000e1", 8, milliseconds(50)).m_Status, 200);
+  EXPECT_EQ(startsOfAgent(0), Before);
+  m_Agents[0]->signal(SIGKILL);
+  m_Agents[0] = startProgram("agent", 0);
+  waitUntil(KnowsChange);
+  EXPECT_EQ(submit("00000000000000e2", 8, milliseconds(50)).m_Status, 200);
+  EXPECT_EQ(startsOfAgent(0), 0);
+  ASSERT_TRUE(withdrawEvacuation("z0"));
+  waitUntil([] {
+    submit("00000000000000e3", 40, milliseconds(20));
+    return startsOfAgent(0) > 0;
+  });
+}
