--- a/tests/support/childprocess.h
+++ b/tests/support/childprocess.h
@@ -22,6 +22,9 @@
 
   void signal(int Signal) const;
 
+  /// The process ID; -1 once the process has been waited for.
+  pid_t id() const { return m_ProcessId; }
+
   /// Waits for the exit. Returns the exit status, 128 plus the number of the
   /// signal that ended the process, or -1 when \p Timeout expires.
   int wait(Duration Timeout);
