--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -98,28 +98,26 @@
     Json Configuration{{"version", 3},
                        {"routes", {Route}},
                        {"services", {{{"name", "gatepost"}}}}};
-    return transact({{{"table", "op"},
-                      {"part", ""},
-                      {"key", "config"},
-                      {"value", toBase64(Configuration.dump())}}},
-                    Json::array());
+    return transact({operatorRow("config", Configuration.dump())}, {});
   }
 
   static bool requestEvacuation(const std::string &Domain) {
-    return transact({{{"table", "op"},
-                      {"part", ""},
-                      {"key", "evacuate/" + Domain},
-                      {"value", toBase64("{}")}}},
-                    Json::array());
+    return transact({operatorRow("evacuate/" + Domain, "{}")}, {});
   }
 
   static bool withdrawEvacuation(const std::string &Domain) {
-    return transact(
-        Json::array(),
-        {{{"table", "op"}, {"part", ""}, {"key", "evacuate/" + Domain}}});
+    return transact({}, {operatorRow("evacuate/" + Domain, "")});
   }
 
-  static bool transact(const Json &Writes, const Json &Removals) {
+  static Json operatorRow(const std::string &Key, const std::string &Value) {
+    return {{"table", "op"},
+            {"part", ""},
+            {"key", Key},
+            {"value", toBase64(Value)}};
+  }
+
+  static bool transact(const std::vector<Json> &Writes,
+                       const std::vector<Json> &Removals) {
     HttpRequest Request;
     Request.m_Method = "POST";
     Request.m_Url = "http://" + address(StorePort) + "/rows-tx";
