Learn the speed of each worker, shrunk towards its kind

Cause: an entry counted a worker with the median of its kind unless its running mean was 1.7 times higher, so servers of one kind but unequal speed counted alike, and one tail, ended or in progress, made a server look slow.

Change: the agent estimates the slowness of its server from the last 64 ends (winsorised in the logarithm around the median; tails are counted in tail_runs_total) and reports it with its spread and count. The entry shrinks it towards the kind by an empirical Bayes rule: the weight is zero unless workers of a kind differ by more than chance explains. Overdue runs count only when at least three and half of the runs in progress are overdue. Off by default (BatchSettings::m_LearnsSpeeds, WorkerSettings::m_SeparatesTails).

--- a/packages/batch/internal/batchservice.cpp
+++ b/packages/batch/internal/batchservice.cpp
@@ -50,7 +50,7 @@
       m_Links(Dependencies.m_Links), m_Timers(Dependencies.m_Timers),
       m_Metrics(Dependencies.m_Metrics),
       m_TaskChart(bindTask(Dependencies.m_Charts)),
-      m_JobChart(bindJob(Dependencies.m_Charts)), m_Workers(Entry, m_Timers),
+      m_JobChart(bindJob(Dependencies.m_Charts)), m_Workers(Entry, Settings.m_LearnsSpeeds, m_Timers),
       m_SlackControl(m_Hooks.m_SlackControl()),
       m_StoppingRuns(m_Settings.m_LapseTime, Dependencies.m_Charts, m_Timers) {}
 
--- a/packages/batch/internal/workertable.cpp
+++ b/packages/batch/internal/workertable.cpp
@@ -1,6 +1,9 @@
 #include "batch/internal/workertable.h"
 
+#include "core/log.h"
+
 #include <algorithm>
+#include <cmath>
 
 namespace cyclamenwalk {
 
@@ -13,6 +16,10 @@
 /// A worker that is slower than its kind by more than this factor counts with
 /// its own slowness.
 constexpr double OutlierFactor = 1.7;
+constexpr double Permille = 1000;
+/// How often learned speeds are compared; much shorter than it takes a worker
+/// to change its speed noticeably.
+constexpr Duration SpeedUpdatePeriod = milliseconds(50);
 /// The cost jitter is one of sixteen multiples of this step, selected by the
 /// upper bits of a multiplicative hash.
 constexpr Duration JitterStep = microseconds(1800);
@@ -74,14 +81,9 @@
   View.m_CostJitter = costJitter(View.m_Agent);
   View.m_Capacity = Report.m_Capacity;
   View.m_Free = Report.m_Free;
-  // The slowness of a single worker mostly reflects errors of estimates, so the
-  // median of its kind is used unless the worker is an outlier.
-  double KindMedian = Slowness.m_ByKind.at(Report.m_Kind);
-  double Measured = Report.m_SlowdownPercent / Percent;
-  double Effective =
-      Measured > OutlierFactor * KindMedian ? Measured : KindMedian;
   View.m_Slowness =
-      std::clamp(Effective / Slowness.m_Mean, MinSlowness, MaxSlowness);
+      std::clamp(effectiveSlowness(Reported, Slowness) / Slowness.m_Mean,
+                 MinSlowness, MaxSlowness);
   View.m_MeanRemaining = Report.m_MeanRemaining;
   View.m_Waiting = Report.m_Waiting;
   TimePoint Now = m_Timers.now();
@@ -93,8 +95,73 @@
   return View;
 }
 
+double WorkerTable::effectiveSlowness(const Worker &Reported,
+                                      const KindSlowness &Slowness) const {
+  const WorkerReport &Report = Reported.m_Report;
+  double Measured = Report.m_SlowdownPercent / Percent;
+  if (!m_LearnsSpeeds) {
+    // The running mean of a single worker mostly reflects errors of estimates,
+    // so the median of its kind is used unless the worker is an outlier.
+    double KindMedian = Slowness.m_ByKind.at(Report.m_Kind);
+    return Measured > OutlierFactor * KindMedian ? Measured : KindMedian;
+  }
+  double Learned = learnedSpeeds(Report.m_Service)
+                       .slowness(Reported.m_Peer.m_Incarnation, Report.m_Kind);
+  // A worker that has just become slow reports more than what it has learned.
+  double ByEnds = Report.m_Speed.m_SlownessPermille / Permille;
+  return Measured > OutlierFactor * std::max(Learned, ByEnds) ? Measured
+                                                              : Learned;
+}
+
+const WorkerSpeeds &
+WorkerTable::learnedSpeeds(const std::string &Service) const {
+  LearnedSpeeds &Known = m_LearnedSpeeds[Service];
+  TimePoint Now = m_Timers.now();
+  if (Now - Known.m_UpdatedAt < SpeedUpdatePeriod)
+    return Known.m_Speeds;
+  Known.m_UpdatedAt = Now;
+  Known.m_Speeds = {};
+  for (const auto &Item : m_Workers)
+    if (isUsable(Item.second, Service))
+      Known.m_Speeds.add(Item.first, Item.second.m_Report.m_Kind,
+                         Item.second.m_Report.m_Speed);
+  Known.m_Speeds.update();
+  logSpeedChanges(Service, Known);
+  return Known.m_Speeds;
+}
+
+/// Logs the workers that have become slower than their kind, or as fast again.
+void WorkerTable::logSpeedChanges(const std::string &Service,
+                                  LearnedSpeeds &Known) const {
+  std::set<Incarnation> SlowAgents = Known.m_Speeds.slowAgents();
+  for (const auto &Item : m_Workers) {
+    bool IsSlow = SlowAgents.count(Item.first) > 0;
+    if (IsSlow == (Known.m_SlowAgents.count(Item.first) > 0))
+      continue;
+    const WorkerReport &Report = Item.second.m_Report;
+    double Slowness = Known.m_Speeds.slowness(Item.first, Report.m_Kind);
+    logEvent(LogLevel::Info, IsSlow ? "worker.slow" : "worker.not_slow",
+             {{"agent", Item.second.m_Peer.m_Name},
+              {"service", Service},
+              {"kind", Report.m_Kind},
+              {"slowness_percent", std::lround(Percent * Slowness)},
+              {"kind_percent",
+               std::lround(Percent * Known.m_Speeds.slownessOf(Report.m_Kind))},
+              {"ends", Report.m_Speed.m_Ends}});
+  }
+  Known.m_SlowAgents = std::move(SlowAgents);
+}
+
 WorkerTable::KindSlowness
 WorkerTable::slownessByKind(const std::string &Service) const {
+  if (!m_LearnsSpeeds)
+    return medianByKind(Service);
+  const WorkerSpeeds &Speeds = learnedSpeeds(Service);
+  return {Speeds.byKind(), std::max(Speeds.mean(), MinSlowness)};
+}
+
+WorkerTable::KindSlowness
+WorkerTable::medianByKind(const std::string &Service) const {
   std::map<std::string, std::vector<double>> MeasuredByKind;
   for (const auto &Item : m_Workers)
     if (isUsable(Item.second, Service))
--- a/packages/batch/internal/workertable.h
+++ b/packages/batch/internal/workertable.h
@@ -1,6 +1,7 @@
 #ifndef CYCLAMENWALK_BATCH_INTERNAL_WORKERTABLE_H
 #define CYCLAMENWALK_BATCH_INTERNAL_WORKERTABLE_H
 
+#include "batch/internal/workerspeeds.h"
 #include "core/itimerservice.h"
 #include "membership/types/peer.h"
 #include "message/types/forwarding.h"
@@ -17,8 +18,10 @@
 /// them and that the reports do not include yet.
 class WorkerTable {
 public:
-  WorkerTable(Incarnation Entry, ITimerService &Timers)
-      : m_Entry(Entry), m_Timers(Timers) {}
+  /// \p LearnsSpeeds: whether each worker counts with its own speed, as far as
+  /// it is known, and not with that of its kind.
+  WorkerTable(Incarnation Entry, bool LearnsSpeeds, ITimerService &Timers)
+      : m_Entry(Entry), m_LearnsSpeeds(LearnsSpeeds), m_Timers(Timers) {}
 
   void add(const Peer &Agent);
   void remove(Incarnation Agent);
@@ -88,7 +91,20 @@
     double m_Mean = 1;
   };
 
+  /// Recomputed periodically.
+  struct LearnedSpeeds {
+    WorkerSpeeds m_Speeds;
+    TimePoint m_UpdatedAt;
+    std::set<Incarnation> m_SlowAgents;
+  };
+
   KindSlowness slownessByKind(const std::string &Service) const;
+  KindSlowness medianByKind(const std::string &Service) const;
+  const WorkerSpeeds &learnedSpeeds(const std::string &Service) const;
+  void logSpeedChanges(const std::string &Service, LearnedSpeeds &Known) const;
+  /// The slowness with which a worker counts, before division by the mean.
+  double effectiveSlowness(const Worker &Reported,
+                           const KindSlowness &Slowness) const;
   bool isUsable(const Worker &Candidate, const std::string &Service) const;
   PlacementWorker placementWorker(const Worker &Reported,
                                   const KindSlowness &Slowness) const;
@@ -97,9 +113,12 @@
   Duration costJitter(Incarnation Agent) const;
 
   const Incarnation m_Entry;
+  const bool m_LearnsSpeeds;
   std::uint64_t m_JitterRound = 0;
   ITimerService &m_Timers;
   std::unordered_map<Incarnation, Worker> m_Workers;
+  /// By service.
+  mutable std::map<std::string, LearnedSpeeds> m_LearnedSpeeds;
 };
 
 } // namespace cyclamenwalk
--- a/packages/batch/types/batchanswer.h
+++ b/packages/batch/types/batchanswer.h
@@ -40,6 +40,9 @@
   Duration m_LapseTime = milliseconds(1250);
   /// Factor on the run time on workers outside the rack of the data.
   double m_RemotePenalty = 1;
+  /// Whether each worker counts with the speed that its ends have shown, and
+  /// not with that of its kind.
+  bool m_LearnsSpeeds = false;
 };
 
 } // namespace cyclamenwalk
--- a/packages/core/types/metric.h
+++ b/packages/core/types/metric.h
@@ -43,6 +43,7 @@
   OrdersUnanswered,
   OrdersNotSent,
   OrderRepeatsPrevented,
+  TailRuns,
   Count
 };
 
--- a/packages/message/types/placement.h
+++ b/packages/message/types/placement.h
@@ -20,6 +20,17 @@
   std::int64_t m_MilliCores = 0;
 };
 
+/// What the latest ends tell about the speed of a worker.
+struct LearnedSpeed {
+  /// The run time of tasks relative to their estimates, in thousandths. Tails
+  /// hardly count.
+  std::uint32_t m_SlownessPermille = 1000;
+  /// The standard deviation of the logarithm of that ratio, in thousandths.
+  std::uint32_t m_SpreadPermille = 0;
+  /// The number of ends; zero when the worker's speed is unknown.
+  std::uint32_t m_Ends = 0;
+};
+
 /// Agent to entry: the resources and the state of its worker.
 struct WorkerReport {
   std::string m_Service;
@@ -39,6 +50,7 @@
   /// The number of tasks placed by the receiver since the link came up that the
   /// report accounts for.
   std::uint64_t m_PlacementsSeen = 0;
+  LearnedSpeed m_Speed;
 };
 
 /// One task of a placement.
--- a/packages/metrics/internal/metricsregistry.cpp
+++ b/packages/metrics/internal/metricsregistry.cpp
@@ -57,6 +57,8 @@
     {"orders_not_sent", "Orders that were never written to a connection."},
     {"order_repeats_prevented",
      "Orders whose connection broke and that were not sent a second time."},
+    {"tail_runs",
+     "Runs that took several times as long as others on the same server."},
 }};
 
 constexpr std::size_t LatencyCount = static_cast<std::size_t>(Timing::Count);
--- a/packages/worker/internal/backendsession.cpp
+++ b/packages/worker/internal/backendsession.cpp
@@ -62,7 +62,8 @@
           {[this](const ConfirmedReply &Confirmed) { receiveLists(Confirmed); },
            [this](const ServerEvidence &E) { receiveEvidence(E); },
            [this] { return m_Runs.activeCount() > 0; },
-           [this] { return leaseLimit(); }}) {
+           [this] { return leaseLimit(); }}),
+      m_Slowness(Settings.m_SeparatesTails) {
   m_Context.m_State = m_Chart.initial();
   logEvent(LogLevel::Info, "backend.found",
            {{"instance", announcement().m_Instance},
@@ -341,8 +342,9 @@
   Duration RunTime{};
   if (Ended.m_StartedAt != TimePoint{})
     RunTime = m_Timers.now() - Ended.m_StartedAt;
-  if (Outcome == RunOutcome::Succeeded)
-    m_Slowness.recordSuccess(Ended, RunTime);
+  if (Outcome == RunOutcome::Succeeded &&
+      m_Slowness.recordSuccess(Ended, RunTime))
+    m_Metrics.count(Metric::TailRuns);
   updateHealth(Ended, Outcome);
   logEvent(LogLevel::Info, "run.ended",
            {{"task", Ended.m_Id.m_Task},
@@ -507,6 +509,7 @@
   Report.m_SlowdownPercent = static_cast<std::uint32_t>(Percent * Slowness);
   Report.m_MeanRemaining = m_Runs.meanRemaining(m_Timers.now(), Slowness);
   Report.m_Waiting = m_Runs.waitingWork(m_Timers.now());
+  Report.m_Speed = m_Slowness.learned();
   return Report;
 }
 
--- a/packages/worker/internal/slowness.cpp
+++ b/packages/worker/internal/slowness.cpp
@@ -8,43 +8,52 @@
 
 /// Weight of one run in the running mean.
 constexpr double SlownessWeight = 0.08;
-constexpr double MinRunTimeRatio = 0.2;
-constexpr double MaxRunTimeRatio = 8;
 /// A run is overdue from this multiple of its expected time on.
 constexpr double OverdueRatio = 2;
 /// Weight of the running mean when it is averaged with the overdue runs, as a
 /// number of runs.
 constexpr double MeanSlownessWeight = 10;
 
-double runTimeRatio(Duration Actual, Duration Expected) {
-  double Quotient =
-      static_cast<double>(Actual.count()) /
-      static_cast<double>(std::max<Duration::rep>(1, Expected.count()));
-  return std::clamp(Quotient, MinRunTimeRatio, MaxRunTimeRatio);
-}
-
 } // namespace
 
-void Slowness::recordSuccess(const Run &Ended, Duration RunTime) {
-  double Ratio = runTimeRatio(RunTime, Ended.m_Job->m_ExpectedRunTime);
-  m_Mean += SlownessWeight * (Ratio - m_Mean);
+bool Slowness::recordSuccess(const Run &Ended, Duration RunTime) {
+  Duration Expected = Ended.m_Job->m_ExpectedRunTime;
+  m_Mean += SlownessWeight * (runTimeRatio(RunTime, Expected) - m_Mean);
+  return m_Learned.recordEnd(RunTime, Expected);
 }
 
-double Slowness::current(const std::vector<RunPointer> &Runs,
-                         TimePoint Now) const {
-  double Sum = MeanSlownessWeight * m_Mean;
-  double Count = MeanSlownessWeight;
+double Slowness::mean() const {
+  return m_SeparatesTails ? m_Learned.slowness() : m_Mean;
+}
+
+Slowness::OverdueRuns Slowness::overdueRuns(const std::vector<RunPointer> &Runs,
+                                            TimePoint Now) const {
+  OverdueRuns Found;
+  double MinRatio = OverdueRatio * mean();
   for (const RunPointer &Candidate : Runs) {
     if (Candidate->m_State != RunState::Running)
       continue;
+    ++Found.m_Running;
     double Ratio = runTimeRatio(Now - Candidate->m_StartedAt,
                                 Candidate->m_Job->m_ExpectedRunTime);
-    if (Ratio < OverdueRatio * m_Mean)
+    if (Ratio < MinRatio)
       continue;
-    Sum += Ratio;
-    ++Count;
+    ++Found.m_Overdue;
+    Found.m_RatioSum += Ratio;
   }
-  return Sum / Count;
+  return Found;
+}
+
+double Slowness::current(const std::vector<RunPointer> &Runs,
+                         TimePoint Now) const {
+  OverdueRuns Found = overdueRuns(Runs, Now);
+  auto Overdue = static_cast<double>(Found.m_Overdue);
+  if (!m_SeparatesTails)
+    return (MeanSlownessWeight * mean() + Found.m_RatioSum) /
+           (MeanSlownessWeight + Overdue);
+  return hasBecomeSlow(Found.m_Running, Found.m_Overdue)
+             ? Found.m_RatioSum / Overdue
+             : mean();
 }
 
 } // namespace cyclamenwalk
--- a/packages/worker/types/backend.h
+++ b/packages/worker/types/backend.h
@@ -163,6 +163,9 @@
   /// How often an entry that gets no more reports is checked for remaining
   /// runs. Longer than a placement can be on its way.
   Duration m_WithdrawPeriod = milliseconds(500);
+  /// Whether single runs far above their expected time are kept apart from the
+  /// speed of the server.
+  bool m_SeparatesTails = false;
 };
 
 } // namespace cyclamenwalk
