--- a/packages/core/types/metric.h
+++ b/packages/core/types/metric.h
@@ -44,6 +44,8 @@
   OrdersNotSent,
   OrderRepeatsPrevented,
   TailRuns,
+  RunsMoved,
+  FlappingReturns,
   Count
 };
 
--- a/packages/metrics/internal/metricsregistry.cpp
+++ b/packages/metrics/internal/metricsregistry.cpp
@@ -59,6 +59,9 @@
      "Orders whose connection broke and that were not sent a second time."},
     {"tail_runs",
      "Runs that took several times as long as others on the same server."},
+    {"runs_moved", "Runs stopped because their server leaves before they end."},
+    {"flapping_returns",
+     "Returns of the backend server after repeated losses."},
 }};
 
 constexpr std::size_t LatencyCount = static_cast<std::size_t>(Timing::Count);
--- a/packages/worker/internal/backendhealth.cpp
+++ b/packages/worker/internal/backendhealth.cpp
@@ -40,6 +40,8 @@
                {{"setStalled", [](Context &C) { C.m_HasStalled = true; }},
                 {"clearStalled", [](Context &C) { C.m_HasStalled = false; }},
                 {"suspendBackend", [this](Context &C) { suspendBackend(C); }},
+                {"startReturnPause",
+                 [this](Context &C) { startPause(C.m_ReturnPause); }},
                 {"resetProbes", [](Context &C) { C.m_Probes = 0; }},
                 {"countProbe", [](Context &C) { ++C.m_Probes; }},
                 {"resetPause", [](Context &C) { C.m_Pause = {}; }}});
@@ -64,13 +66,22 @@
 
 void BackendHealth::suspendBackend(Context &Suspended) {
   Suspended.m_Pause = std::clamp(Suspended.m_Pause * 2, MinPause, MaxPause);
+  startPause(Suspended.m_Pause);
+}
+
+void BackendHealth::startPause(Duration Pause) {
   m_Timers.cancel(m_Timer);
-  m_Timer = m_Timers.subscribe(Suspended.m_Pause, [this] {
+  m_Timer = m_Timers.subscribe(Pause, [this] {
     m_Timer = 0;
     fire(BackendHealthEvent::PauseOver);
   });
 }
 
+void BackendHealth::recordLosses(Duration Pause) {
+  m_Context.m_ReturnPause = Pause;
+  fire(BackendHealthEvent::Flapping);
+}
+
 void BackendHealth::recordStall() { fire(BackendHealthEvent::Stalled); }
 
 void BackendHealth::recordProgress() { fire(BackendHealthEvent::Progressed); }
--- a/packages/worker/internal/backendhealth.h
+++ b/packages/worker/internal/backendhealth.h
@@ -18,7 +18,8 @@
   Failed,
   Succeeded,
   Progressed,
-  PauseOver
+  PauseOver,
+  Flapping
 };
 
 template <> struct ChartNames<BackendHealthState> {
@@ -26,9 +27,9 @@
       "healthy", "suspended", "probing"};
 };
 template <> struct ChartNames<BackendHealthEvent> {
-  static constexpr std::array<std::string_view, 6> Values{
-      "stalled",   "failureRateHigh", "failed",
-      "succeeded", "progressed",      "pauseOver"};
+  static constexpr std::array<std::string_view, 7> Values{
+      "stalled",    "failureRateHigh", "failed",  "succeeded",
+      "progressed", "pauseOver",       "flapping"};
 };
 
 /// The health of the backend server, judged by the outcome and the progress of
@@ -41,6 +42,10 @@
                 std::function<void()> Changed);
   ~BackendHealth();
 
+  /// The server has returned after repeated losses; it is suspended for
+  /// \p Pause.
+  void recordLosses(Duration Pause);
+
   /// Runs of the server make no progress.
   void recordStall();
 
@@ -62,12 +67,15 @@
     /// Whether the last suspension was due to a stall.
     bool m_HasStalled = false;
     Duration m_Pause{};
+    /// The pause of a server that has returned after repeated losses.
+    Duration m_ReturnPause{};
   };
   using Chart = BoundChart<Context, BackendHealthState, BackendHealthEvent>;
 
   Chart bind(const IChartSource &Charts);
   void fire(BackendHealthEvent Event);
   void suspendBackend(Context &Suspended);
+  void startPause(Duration Pause);
 
   const std::string m_Instance;
   FailureTest m_Test;
--- a/packages/worker/internal/backendsession.cpp
+++ b/packages/worker/internal/backendsession.cpp
@@ -73,6 +73,7 @@
             {"millicores", announcement().m_Capacity.m_MilliCores},
             {"memory_mb", announcement().m_Capacity.m_MemoryMb},
             {"token", m_Server.token()}});
+  updateColdRamp(announcement().m_ColdRemaining);
   m_Server.requestLists();
 }
 
@@ -116,6 +117,10 @@
   m_Chart.fire(m_Context, Event);
   if (PreviousState == m_Context.m_State)
     return;
+  bool WasInUse = PreviousState == SessionState::Serving ||
+                  PreviousState == SessionState::Unreachable;
+  bool IsEnding = m_Context.m_State == SessionState::Closing || isGone();
+  m_WasLost = m_WasLost || (WasInUse && IsEnding);
   auto StateIndex = static_cast<std::size_t>(m_Context.m_State);
   logEvent(
       LogLevel::Info, "backend.state_changed",
@@ -157,8 +162,7 @@
   if (Use != AnnouncementUse::Adopted)
     return;
   m_Runs.setCapacity(Announcement.m_Capacity);
-  if (Announcement.m_IsLeaving)
-    leave();
+  updateAvailability(Announcement);
 }
 
 /// Asks the server whether it is the announced incarnation.
@@ -241,7 +245,10 @@
 }
 
 Duration BackendSession::forecastWait(const PlacedJob &Job) const {
-  return m_Runs.forecastWait(Job, m_Timers.now(), slowness());
+  Duration Wait = m_Runs.forecastWait(Job, m_Timers.now(), slowness());
+  if (fitsRamp(Job))
+    return Wait;
+  return std::max(Wait, m_Runs.meanRemaining(m_Timers.now(), slowness()));
 }
 
 void BackendSession::expireRun(const RunId &Id) {
@@ -268,7 +275,7 @@
   while (isServing() && m_Runs.activeCount() < m_Health.runLimit()) {
     RunPointer Next =
         m_Runs.nextToStart(m_Timers.now(), [this](const Run &Waiting) {
-          return mayStart(Waiting);
+          return mayStart(Waiting) && fitsRamp(*Waiting.m_Job);
         });
     if (!Next)
       break;
@@ -423,6 +430,7 @@
     checkDeadline(*Updated);
   }
   stopStalledRuns();
+  moveRunsThatCannotEnd();
 }
 
 /// Stops stalled runs, so that their tasks can run at another worker.
@@ -502,7 +510,7 @@
   Report.m_Rack = announcement().m_Rack;
   Report.m_Kind = announcement().m_Kind;
   Report.m_Capacity = m_Runs.capacity();
-  Report.m_Free = m_Runs.free();
+  Report.m_Free = usableFree();
   bool IsFull = m_Runs.activeCount() >= m_Health.runLimit();
   Report.m_IsAccepting = isServing() && !IsFull;
   double Slowness = slowness();
--- a/packages/worker/internal/backendsession.h
+++ b/packages/worker/internal/backendsession.h
@@ -2,6 +2,7 @@
 #define CYCLAMENWALK_WORKER_INTERNAL_BACKENDSESSION_H
 
 #include "worker/internal/backendhealth.h"
+#include "worker/internal/coldramp.h"
 #include "worker/internal/runtable.h"
 #include "worker/internal/serveridentity.h"
 #include "worker/internal/serverlink.h"
@@ -50,6 +51,12 @@
   /// The latest end of a lease that the server may hold.
   TimePoint leaseEndsAt() const { return m_Server.leaseEndsAt(); }
 
+  /// Starts nothing for \p Pause, and then one run at a time at first.
+  void pauseAfterLosses(Duration Pause);
+
+  /// Whether the server has ended without an announcement.
+  bool wasLost() const { return m_WasLost; }
+
   /// The server accepts no more work.
   void leave();
 
@@ -104,6 +111,12 @@
   void dropWaitingRuns();
   void stopOrphans();
 
+  void updateAvailability(const BackendAnnouncement &Announcement);
+  void updateColdRamp(Duration Remaining);
+  void moveRunsThatCannotEnd();
+  bool fitsRamp(const PlacedJob &Job) const;
+  Resources usableFree() const;
+
   TimePoint limitOf(const Run &Limited) const;
   TimePoint leaseLimit();
   bool mayStart(const Run &Waiting) const;
@@ -147,6 +160,12 @@
   /// Runs in progress that this agent did not start.
   std::vector<RunId> m_Orphans;
   Slowness m_Slowness;
+  ColdRamp m_Ramp;
+  /// Whether the ramp limits the use of the server.
+  bool m_IsCold = false;
+  /// When a leaving server may end, if it has stated it.
+  std::optional<TimePoint> m_EndsAt;
+  bool m_WasLost = false;
 };
 
 } // namespace cyclamenwalk
--- a/packages/worker/internal/slowness.h
+++ b/packages/worker/internal/slowness.h
@@ -14,6 +14,8 @@
 public:
   explicit Slowness(bool SeparatesTails) : m_SeparatesTails(SeparatesTails) {}
 
+  void forgetEnds() { *this = Slowness(m_SeparatesTails); }
+
   /// Returns whether the run was a tail.
   bool recordSuccess(const Run &Ended, Duration RunTime);
 
@@ -36,7 +38,7 @@
   OverdueRuns overdueRuns(const std::vector<RunPointer> &Runs,
                           TimePoint Now) const;
 
-  const bool m_SeparatesTails;
+  bool m_SeparatesTails;
   double m_Mean = 1;
   SpeedEstimator m_Learned;
 };
--- a/packages/worker/internal/workerservice.cpp
+++ b/packages/worker/internal/workerservice.cpp
@@ -96,6 +96,21 @@
           [this] { handleSessionChange(); },
           [this](const Run &Late) { reportDeadlineMiss(Late); },
           [this](Incarnation Entry) { return runLimit(Entry); }}));
+  pauseAfterLosses(*m_Sessions.back());
+}
+
+/// A server that alternates between down and up would lose its runs each time.
+void WorkerService::pauseAfterLosses(BackendSession &Returned) {
+  TimePoint Now = m_Timers.now();
+  Duration Pause = m_Losses.pause(Now);
+  if (!m_Settings.m_PausesAfterLosses || Pause == Duration::zero())
+    return;
+  m_Dependencies.m_Metrics.count(Metric::FlappingReturns);
+  logEvent(LogLevel::Warning, "backend.flapping",
+           {{"instance", Returned.announcement().m_Instance},
+            {"losses", m_Losses.recentLosses(Now)},
+            {"pause_ms", toMilliseconds(Pause)}});
+  Returned.pauseAfterLosses(Pause);
 }
 
 void WorkerService::handleSessionChange() {
@@ -120,6 +135,8 @@
       continue;
     m_HighestToken = std::max(m_HighestToken, Session->token());
     m_LeaseEndsAt = std::max(m_LeaseEndsAt, Session->leaseEndsAt());
+    if (Session->wasLost())
+      m_Losses.recordLoss(m_Timers.now());
     if (auto Successor = Session->takeSuccessor())
       Successors.push_back(std::move(*Successor));
   }
--- a/packages/worker/internal/workerservice.h
+++ b/packages/worker/internal/workerservice.h
@@ -1,6 +1,7 @@
 #ifndef CYCLAMENWALK_WORKER_INTERNAL_WORKERSERVICE_H
 #define CYCLAMENWALK_WORKER_INTERNAL_WORKERSERVICE_H
 
+#include "policy/types/lossbackoff.h"
 #include "worker/internal/backendsession.h"
 
 #include <map>
@@ -41,6 +42,7 @@
   SessionPointer findSession(const std::string &Instance) const;
   SessionPointer currentSession() const;
   void openSession(const BackendAnnouncement &Announcement);
+  void pauseAfterLosses(BackendSession &Returned);
   void handleSessionChange();
   void replaceGoneSessions();
   void receivePlacement(Incarnation Entry, PlaceTasks &Body);
@@ -72,6 +74,7 @@
   std::uint64_t m_HighestToken = 0;
   /// The latest end of a lease from the sessions that have ended.
   TimePoint m_LeaseEndsAt;
+  LossBackoff m_Losses;
   bool m_IsDraining = false;
   TimerId m_ReportTimer = 0;
   TimerId m_OverdueTimer = 0;
--- a/packages/worker/tests/mocks/workerservicefixture.h
+++ b/packages/worker/tests/mocks/workerservicefixture.h
@@ -22,9 +22,9 @@
 /// A worker service with a fake backend server, links and timers.
 class WorkerServiceTest : public testing::Test {
 protected:
-  WorkerServiceTest()
+  explicit WorkerServiceTest(const WorkerSettings &Settings = {})
       : m_Charts(CW_CHART_DIR),
-        m_Worker(makeWorkerService(WorkerSettings{},
+        m_Worker(makeWorkerService(Settings,
                                    {m_Charts, m_Links, m_Control, m_Timers,
                                     m_Metrics, [] { return FirstToken; }})) {
     m_Worker->entryUp(Entry);
--- a/packages/worker/types/backend.h
+++ b/packages/worker/types/backend.h
@@ -8,6 +8,7 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,11 @@
   std::string m_Kind;
   Resources m_Capacity;
   bool m_IsLeaving = false;
+  /// The least time until a leaving server ends, if it states it.
+  std::optional<Duration> m_Remaining;
+  /// How much longer the server is slow after its start; zero for one that is
+  /// warm or does not state it.
+  Duration m_ColdRemaining{};
   /// Increases with each announcement of an instance.
   std::uint64_t m_Sequence = 0;
 };
@@ -166,6 +172,9 @@
   /// Whether single runs far above their expected time are kept apart from the
   /// speed of the server.
   bool m_SeparatesTails = false;
+  /// Whether a server that was lost repeatedly gets no work for a while after
+  /// its return.
+  bool m_PausesAfterLosses = false;
 };
 
 } // namespace cyclamenwalk
