--- a/packages/core/types/metric.h
+++ b/packages/core/types/metric.h
@@ -45,6 +45,9 @@
   OrderRepeatsPrevented,
   EvacuationChanges,
   EvacuationRefusals,
+  TailRuns,
+  RunsMoved,
+  FlappingReturns,
   Count
 };
 
--- a/packages/metrics/internal/metricsregistry.cpp
+++ b/packages/metrics/internal/metricsregistry.cpp
@@ -60,6 +60,11 @@
     {"evacuation_changes", "Changes of the evacuated failure domains."},
     {"evacuation_refusals",
      "Tasks returned because their failure domain is evacuated."},
+    {"tail_runs",
+     "Runs that took several times as long as others on the same server."},
+    {"runs_moved", "Runs stopped because their server leaves before they end."},
+    {"flapping_returns",
+     "Returns of the backend server after repeated losses."},
 }};
 
 constexpr std::size_t LatencyCount = static_cast<std::size_t>(Timing::Count);
--- a/packages/worker/internal/workerservice.h
+++ b/packages/worker/internal/workerservice.h
@@ -1,6 +1,7 @@
 #ifndef CYCLAMENWALK_WORKER_INTERNAL_WORKERSERVICE_H
 #define CYCLAMENWALK_WORKER_INTERNAL_WORKERSERVICE_H
 
+#include "policy/types/lossbackoff.h"
 #include "worker/internal/backendsession.h"
 #include "worker/internal/evacuationchart.h"
 
@@ -48,6 +49,7 @@
   SessionPointer findSession(const std::string &Instance) const;
   SessionPointer currentSession() const;
   void openSession(const BackendAnnouncement &Announcement);
+  void pauseAfterLosses(BackendSession &Returned);
   void handleSessionChange();
   void replaceGoneSessions();
   void receivePlacement(Incarnation Entry, PlaceTasks &Body);
@@ -81,6 +83,7 @@
   TimePoint m_LeaseEndsAt;
   const EvacuationChart m_EvacuationChart;
   EvacuationContext m_Evacuation;
+  LossBackoff m_Losses;
   bool m_IsDraining = false;
   TimerId m_ReportTimer = 0;
   TimerId m_OverdueTimer = 0;
