Forecast waits from expected ends, reserve and backfill at the agent

Cause: a server near full reports one mean remaining time, so entries can't tell which frees cores first, and large runs wait behind a stream of small ones without a time from which resources are kept for them. Change: agents that look ahead report their next expected ends in a few steps, reserve for the first run that doesn't fit and backfill behind it; entries that look ahead forecast from the ends and place among a bounded number of workers from an index ordered by room. Both are off by default. Protocol version 4: WorkerReport has one more field. Measured: the existing tests of policy, worker, batch and protocol pass.

--- a/packages/batch/internal/batchservice.cpp
+++ b/packages/batch/internal/batchservice.cpp
@@ -50,7 +50,8 @@
       m_Links(Dependencies.m_Links), m_Timers(Dependencies.m_Timers),
       m_Metrics(Dependencies.m_Metrics),
       m_TaskChart(bindTask(Dependencies.m_Charts)),
-      m_JobChart(bindJob(Dependencies.m_Charts)), m_Workers(Entry, m_Timers),
+      m_JobChart(bindJob(Dependencies.m_Charts)),
+      m_Workers(Entry, m_Timers, m_Settings.m_LookAhead),
       m_SlackControl(m_Hooks.m_SlackControl()),
       m_StoppingRuns(m_Settings.m_LapseTime, Dependencies.m_Charts, m_Timers) {}
 
@@ -224,8 +225,9 @@
                                  const PlacementJob &Request) {
   const std::string &Service = Job.m_Spec.m_Service;
   auto Plan = m_Hooks.m_Placement(
-      m_Workers.placementWorkers(Service, Job.m_AvoidedAgents), Request);
-  if (!Plan.m_Tasks.empty() || Job.m_AvoidedAgents.empty())
+      m_Workers.candidates(Service, Request, Job.m_AvoidedAgents), Request);
+  bool AreAllTried = Job.m_AvoidedAgents.empty() && !m_Settings.m_LookAhead;
+  if (!Plan.m_Tasks.empty() || AreAllTried)
     return Plan;
   return m_Hooks.m_Placement(m_Workers.placementWorkers(Service, {}), Request);
 }
--- a/packages/batch/internal/workertable.cpp
+++ b/packages/batch/internal/workertable.cpp
@@ -1,5 +1,7 @@
 #include "batch/internal/workertable.h"
 
+#include "policy/types/lookahead.h"
+
 #include <algorithm>
 
 namespace cyclamenwalk {
@@ -19,6 +21,19 @@
 constexpr std::uint64_t RoundFactor = 0x2545f4914f6cdd1dULL;
 constexpr std::uint64_t HashFactor = 0x9e3779b97f4a7c15ULL;
 constexpr int HashShift = 60;
+/// Workers of each kind among which a job is placed when looking ahead: this
+/// number, and two more for each task.
+constexpr std::size_t MinCandidates = 8;
+constexpr std::size_t CandidatesPerTask = 2;
+/// Cores that become free within this time count as room of a worker.
+constexpr Duration RoomHorizon = milliseconds(60);
+constexpr Duration SlownessPeriod = milliseconds(20);
+
+/// The kind of a worker or whether it accepts tasks has changed.
+bool hasOtherKind(const WorkerReport &Last, const WorkerReport &Current) {
+  return Last.m_Kind != Current.m_Kind || Last.m_Service != Current.m_Service ||
+         Last.m_IsAccepting != Current.m_IsAccepting;
+}
 
 } // namespace
 
@@ -27,7 +42,10 @@
   m_Workers[Agent.m_Incarnation].m_Peer = Agent;
 }
 
-void WorkerTable::remove(Incarnation Agent) { m_Workers.erase(Agent); }
+void WorkerTable::remove(Incarnation Agent) {
+  m_Workers.erase(Agent);
+  m_Index.remove(Agent);
+}
 
 std::vector<Incarnation> WorkerTable::agents() const {
   std::vector<Incarnation> Agents;
@@ -45,9 +63,28 @@
          Reported.m_UnreportedPlacements.front().m_PlacedTotal <=
              Report.m_PlacementsSeen)
     Reported.m_UnreportedPlacements.pop_front();
+  if (!Reported.m_HasReport || hasOtherKind(Reported.m_Report, Report))
+    m_RecentSlowness.clear();
   Reported.m_Report = std::move(Report);
   Reported.m_ReportedAt = m_Timers.now();
   Reported.m_HasReport = true;
+  if (m_LooksAhead)
+    index(Agent, Reported);
+}
+
+void WorkerTable::index(Incarnation Agent, const Worker &Reported) {
+  const WorkerReport &Report = Reported.m_Report;
+  std::int64_t Room =
+      freeWithin({Report.m_Capacity, Report.m_Free, Report.m_ExpectedEnds, {}},
+                 RoomHorizon)
+          .m_MilliCores;
+  for (const WaitingWork &Waiting : Report.m_Waiting)
+    Room -= Waiting.m_MilliCores;
+  for (const UnreportedPlacement &Placed : Reported.m_UnreportedPlacements)
+    Room -= Placed.m_Tasks * Placed.m_Job.m_Required.m_MilliCores;
+  m_Index.update(Agent, {Report.m_Service, Report.m_Kind, Report.m_Rack,
+                         Report.m_Capacity, Report.m_Free.m_MilliCores, Room,
+                         Reported.m_ReportedAt, Report.m_IsAccepting});
 }
 
 void WorkerTable::addPlacement(Incarnation Agent, const PlacementJob &Job,
@@ -56,6 +93,7 @@
   Assigned.m_PlacedTotal += Tasks;
   Assigned.m_UnreportedPlacements.push_back(
       {Assigned.m_PlacedTotal, Tasks, Job, m_Timers.now() + Job.m_OrderWithin});
+  m_Index.subtractRoom(Agent, Tasks * Job.m_Required.m_MilliCores);
 }
 
 bool WorkerTable::isUsable(const Worker &Candidate,
@@ -85,6 +123,10 @@
   View.m_MeanRemaining = Report.m_MeanRemaining;
   View.m_Waiting = Report.m_Waiting;
   TimePoint Now = m_Timers.now();
+  if (m_LooksAhead) {
+    View.m_ExpectedEnds = Report.m_ExpectedEnds;
+    advanceEnds(View.m_ExpectedEnds, View.m_Free, Now - Reported.m_ReportedAt);
+  }
   for (WaitingWork &Waiting : View.m_Waiting)
     Waiting.m_OrderWithin -= Now - Reported.m_ReportedAt;
   for (const UnreportedPlacement &Placed : Reported.m_UnreportedPlacements)
@@ -116,9 +158,24 @@
   return Slowness;
 }
 
+WorkerTable::KindSlowness
+WorkerTable::currentSlowness(const std::string &Service) const {
+  if (!m_LooksAhead)
+    return slownessByKind(Service);
+  TimePoint Now = m_Timers.now();
+  auto It = m_RecentSlowness.find(Service);
+  if (It == m_RecentSlowness.end() ||
+      Now - It->second.m_ComputedAt >= SlownessPeriod)
+    It = m_RecentSlowness
+             .insert_or_assign(Service,
+                               RecentSlowness{slownessByKind(Service), Now})
+             .first;
+  return It->second.m_Slowness;
+}
+
 WorkerTable::ServiceSlowness
 WorkerTable::serviceSlowness(const std::string &Service) const {
-  KindSlowness Slowness = slownessByKind(Service);
+  KindSlowness Slowness = currentSlowness(Service);
   double FastestKind = Slowness.m_Mean;
   for (const auto &Kind : Slowness.m_ByKind)
     FastestKind = std::min(FastestKind, Kind.second);
@@ -126,6 +183,8 @@
 }
 
 double WorkerTable::coreUtilization(const std::string &Service) const {
+  if (m_LooksAhead)
+    return m_Index.coreUtilization(Service);
   double Capacity = 0;
   double Free = 0;
   for (const auto &Item : m_Workers) {
@@ -141,7 +200,7 @@
 std::vector<PlacementWorker>
 WorkerTable::placementWorkers(const std::string &Service,
                               const std::set<Incarnation> &ExcludedAgents) {
-  KindSlowness Slowness = slownessByKind(Service);
+  KindSlowness Slowness = currentSlowness(Service);
   ++m_JitterRound;
   std::vector<PlacementWorker> Workers;
   for (const auto &Item : m_Workers)
@@ -150,7 +209,28 @@
   return Workers;
 }
 
+/// The index lists workers in a sorted order, so that ties are broken alike
+/// whatever has room.
+std::vector<PlacementWorker>
+WorkerTable::candidates(const std::string &Service, const PlacementJob &Job,
+                        const std::set<Incarnation> &ExcludedAgents) {
+  // The index orders by cores alone.
+  if (!m_LooksAhead || Job.m_Required.m_Gpus > 0)
+    return placementWorkers(Service, ExcludedAgents);
+  KindSlowness Slowness = currentSlowness(Service);
+  ++m_JitterRound;
+  std::vector<PlacementWorker> Workers;
+  std::size_t Count = MinCandidates + CandidatesPerTask * Job.m_Tasks;
+  for (Incarnation Agent :
+       m_Index.candidates(Service, Job.m_Rack, Count, ExcludedAgents))
+    Workers.push_back(placementWorker(m_Workers.at(Agent), Slowness));
+  return Workers;
+}
+
 Duration WorkerTable::oldestReportAge(const std::string &Service) const {
+  TimePoint Now = m_Timers.now();
+  if (m_LooksAhead)
+    return Now - m_Index.oldestReport(Service, Now);
   Duration OldestAge{};
   for (const auto &Item : m_Workers)
     if (isUsable(Item.second, Service))
@@ -167,6 +247,8 @@
 }
 
 bool WorkerTable::hasAccepting() const {
+  if (m_LooksAhead)
+    return m_Index.hasAccepting();
   return std::any_of(m_Workers.begin(), m_Workers.end(), [](const auto &Item) {
     return Item.second.m_HasReport && Item.second.m_Report.m_IsAccepting;
   });
@@ -197,6 +279,8 @@
 
 bool WorkerTable::canHold(const std::string &Service,
                           const Resources &Required) const {
+  if (m_LooksAhead)
+    return m_Index.canHold(Service, Required);
   return std::any_of(m_Workers.begin(), m_Workers.end(), [&](const auto &Item) {
     const WorkerReport &Report = Item.second.m_Report;
     return Report.m_Service == Service && Report.m_Capacity.canFit(Required);
--- a/packages/batch/internal/workertable.h
+++ b/packages/batch/internal/workertable.h
@@ -1,6 +1,7 @@
 #ifndef CYCLAMENWALK_BATCH_INTERNAL_WORKERTABLE_H
 #define CYCLAMENWALK_BATCH_INTERNAL_WORKERTABLE_H
 
+#include "batch/internal/workerindex.h"
 #include "core/itimerservice.h"
 #include "membership/types/peer.h"
 #include "message/types/forwarding.h"
@@ -17,8 +18,9 @@
 /// them and that the reports do not include yet.
 class WorkerTable {
 public:
-  WorkerTable(Incarnation Entry, ITimerService &Timers)
-      : m_Entry(Entry), m_Timers(Timers) {}
+  /// \p LooksAhead: see BatchSettings::m_LookAhead.
+  WorkerTable(Incarnation Entry, ITimerService &Timers, bool LooksAhead = false)
+      : m_Entry(Entry), m_LooksAhead(LooksAhead), m_Timers(Timers) {}
 
   void add(const Peer &Agent);
   void remove(Incarnation Agent);
@@ -37,6 +39,12 @@
   placementWorkers(const std::string &Service,
                    const std::set<Incarnation> &ExcludedAgents);
 
+  /// The workers among which a job is placed: all of placementWorkers(), or
+  /// when looking ahead those with the most room.
+  std::vector<PlacementWorker>
+  candidates(const std::string &Service, const PlacementJob &Job,
+             const std::set<Incarnation> &ExcludedAgents);
+
   /// The slowness of workers: the ratio of run times to their estimates.
   struct ServiceSlowness {
     /// The mean over all workers.
@@ -88,7 +96,16 @@
     double m_Mean = 1;
   };
 
+  /// The result of slownessByKind() some time ago.
+  struct RecentSlowness {
+    KindSlowness m_Slowness;
+    TimePoint m_ComputedAt;
+  };
+
   KindSlowness slownessByKind(const std::string &Service) const;
+  /// The same, when looking ahead no more than SlownessPeriod old.
+  KindSlowness currentSlowness(const std::string &Service) const;
+  void index(Incarnation Agent, const Worker &Reported);
   bool isUsable(const Worker &Candidate, const std::string &Service) const;
   PlacementWorker placementWorker(const Worker &Reported,
                                   const KindSlowness &Slowness) const;
@@ -97,9 +114,14 @@
   Duration costJitter(Incarnation Agent) const;
 
   const Incarnation m_Entry;
+  const bool m_LooksAhead;
   std::uint64_t m_JitterRound = 0;
   ITimerService &m_Timers;
   std::unordered_map<Incarnation, Worker> m_Workers;
+  /// Empty unless m_LooksAhead.
+  WorkerIndex m_Index;
+  /// By service.
+  mutable std::map<std::string, RecentSlowness> m_RecentSlowness;
 };
 
 } // namespace cyclamenwalk
--- a/packages/batch/types/batchanswer.h
+++ b/packages/batch/types/batchanswer.h
@@ -40,6 +40,9 @@
   Duration m_LapseTime = milliseconds(1250);
   /// Factor on the run time on workers outside the rack of the data.
   double m_RemotePenalty = 1;
+  /// Whether forecasts use the expected ends that agents report, and jobs are
+  /// placed on a bounded number of workers with the most room.
+  bool m_LookAhead = false;
 };
 
 } // namespace cyclamenwalk
--- a/packages/core/types/metric.h
+++ b/packages/core/types/metric.h
@@ -43,6 +43,10 @@
   OrdersUnanswered,
   OrdersNotSent,
   OrderRepeatsPrevented,
+  RunsPassedOver,
+  ReservationsMade,
+  ReservationsLapsed,
+  BackfilledStarts,
   Count
 };
 
--- a/packages/core/types/resources.h
+++ b/packages/core/types/resources.h
@@ -35,6 +35,10 @@
   }
 };
 
+inline Resources operator+(Resources Left, const Resources &Right) {
+  return Left += Right;
+}
+
 inline Resources operator-(Resources Left, const Resources &Right) {
   return Left -= Right;
 }
--- a/packages/message/types/placement.h
+++ b/packages/message/types/placement.h
@@ -20,6 +20,14 @@
   std::int64_t m_MilliCores = 0;
 };
 
+/// Resources that are expected to become free when runs end.
+struct ExpectedEnd {
+  /// Relative to the time of the report.
+  Duration m_Within{};
+  Resources m_Freed;
+  bool operator==(const ExpectedEnd &) const = default;
+};
+
 /// Agent to entry: the resources and the state of its worker.
 struct WorkerReport {
   std::string m_Service;
@@ -39,6 +47,9 @@
   /// The number of tasks placed by the receiver since the link came up that the
   /// report accounts for.
   std::uint64_t m_PlacementsSeen = 0;
+  /// The next ends of runs, merged into a few steps, sorted by time; empty
+  /// while the worker has room, and from an agent that doesn't look ahead.
+  std::vector<ExpectedEnd> m_ExpectedEnds;
 };
 
 /// One task of a placement.
--- a/packages/metrics/internal/metricsregistry.cpp
+++ b/packages/metrics/internal/metricsregistry.cpp
@@ -57,6 +57,13 @@
     {"orders_not_sent", "Orders that were never written to a connection."},
     {"order_repeats_prevented",
      "Orders whose connection broke and that were not sent a second time."},
+    {"runs_passed_over",
+     "Waiting runs that a run placed later started before."},
+    {"reservations_made",
+     "Reservations of resources for runs that did not fit."},
+    {"reservations_lapsed",
+     "Reservations that kept too much free and were given up."},
+    {"backfilled_starts", "Runs started beside or before a reservation."},
 }};
 
 constexpr std::size_t LatencyCount = static_cast<std::size_t>(Timing::Count);
--- a/packages/policy/internal/placement.cpp
+++ b/packages/policy/internal/placement.cpp
@@ -1,5 +1,7 @@
 #include "policy/types/placement.h"
 
+#include "policy/types/lookahead.h"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -113,6 +115,11 @@
   for (const WaitingWork &Waiting : Worker.m_Waiting)
     if (Waiting.m_OrderWithin <= Job.m_OrderWithin)
       MilliCoresAhead += Waiting.m_MilliCores;
+  if (!Worker.m_ExpectedEnds.empty())
+    return forecastWaitByEnds({Worker.m_Capacity, Worker.m_Free,
+                               Worker.m_ExpectedEnds, Worker.m_MeanRemaining},
+                              {Job.m_Required, runTime(Worker, Job)},
+                              MilliCoresAhead);
   if (MilliCoresAhead == 0 && Worker.m_Free.canFit(Job.m_Required))
     return Duration::zero();
   std::int64_t FreeMilliCores =
@@ -124,7 +131,9 @@
 
 void assignTask(PlacementWorker &Worker, const PlacementJob &Job,
                 Duration OrderWithin) {
-  if (Worker.m_Free.canFit(Job.m_Required)) {
+  bool MayStart = Worker.m_ExpectedEnds.empty() ||
+                  forecastWait(Worker, Job) <= Duration::zero();
+  if (MayStart && Worker.m_Free.canFit(Job.m_Required)) {
     Worker.m_Free -= Job.m_Required;
     return;
   }
--- a/packages/policy/types/placement.h
+++ b/packages/policy/types/placement.h
@@ -26,6 +26,8 @@
   /// Mean expected time until a running task ends.
   Duration m_MeanRemaining{};
   std::vector<WaitingWork> m_Waiting;
+  /// Sorted by time; empty if the worker has room or does not report ends.
+  std::vector<ExpectedEnd> m_ExpectedEnds;
   /// Random addition to the cost, drawn for each placement, so that entries
   /// with the same reports do not all choose the same worker.
   Duration m_CostJitter{};
--- a/packages/protocol/codec.h
+++ b/packages/protocol/codec.h
@@ -11,7 +11,7 @@
 
 /// Version of the protocol between processes; messages of other versions are
 /// refused.
-constexpr unsigned ProtocolVersionNumber = 3;
+constexpr unsigned ProtocolVersionNumber = 4;
 
 /// Largest encoded message, in bytes.
 constexpr std::size_t DefaultMessageLimit = 16 * 1024 * 1024;
--- a/packages/protocol/internal/fields.h
+++ b/packages/protocol/internal/fields.h
@@ -72,10 +72,14 @@
 template <typename Call> void visitFields(WaitingWork &Value, Call &&Visit) {
   Visit(Value.m_OrderWithin, Value.m_MilliCores);
 }
+template <typename Call> void visitFields(ExpectedEnd &Value, Call &&Visit) {
+  Visit(Value.m_Within, Value.m_Freed);
+}
 template <typename Call> void visitFields(WorkerReport &Value, Call &&Visit) {
   Visit(Value.m_Service, Value.m_Rack, Value.m_Kind, Value.m_Capacity,
         Value.m_Free, Value.m_IsAccepting, Value.m_SlowdownPercent,
-        Value.m_MeanRemaining, Value.m_Waiting, Value.m_PlacementsSeen);
+        Value.m_MeanRemaining, Value.m_Waiting, Value.m_PlacementsSeen,
+        Value.m_ExpectedEnds);
 }
 template <typename Call> void visitFields(PlacedTask &Value, Call &&Visit) {
   Visit(Value.m_Index, Value.m_Run);
--- a/packages/worker/internal/backendsession.cpp
+++ b/packages/worker/internal/backendsession.cpp
@@ -14,10 +14,13 @@
 /// A stop order is repeated after this time if the run has not ended.
 constexpr Duration StopRepeatPeriod = milliseconds(100);
 constexpr double Percent = 100;
+/// A server has room while at least this part of its cores is free.
+constexpr std::int64_t RoomDivisor = 4;
 constexpr std::size_t MaxFailedJobs = 1000;
 /// Requests that end runs before their start, as named in the log.
 constexpr std::string_view DropRequest = "returned_to_entry";
 constexpr std::string_view QueueTimeout = "queue_timeout";
+constexpr std::string_view GivenUp = "given_up";
 constexpr std::string_view StopRequest = "stop_request";
 
 const char *nameOf(RunOutcome Outcome) {
@@ -54,6 +57,7 @@
       m_Chart(bindSession(Dependencies.m_Charts)),
       m_RunChart(bindRun(Dependencies.m_Charts)),
       m_Runs(announcement().m_Capacity),
+      m_Backfill(Settings.m_MaxPassedOver, Settings.m_MaxQueueTime, m_Metrics),
       m_Health(announcement().m_Instance, Dependencies.m_MakeFailureTest(),
                Dependencies.m_Charts, m_Timers, [this] { startWaitingRuns(); }),
       m_Server(
@@ -240,7 +244,9 @@
 }
 
 Duration BackendSession::forecastWait(const PlacedJob &Job) const {
-  return m_Runs.forecastWait(Job, m_Timers.now(), slowness());
+  return m_Settings.m_LookAhead
+             ? m_Runs.forecastWaitByEnds(Job, m_Timers.now(), slowness())
+             : m_Runs.forecastWait(Job, m_Timers.now(), slowness());
 }
 
 void BackendSession::expireRun(const RunId &Id) {
@@ -265,10 +271,7 @@
 
 void BackendSession::startWaitingRuns() {
   while (isServing() && m_Runs.activeCount() < m_Health.runLimit()) {
-    RunPointer Next =
-        m_Runs.nextToStart(m_Timers.now(), [this](const Run &Waiting) {
-          return mayStart(Waiting);
-        });
+    auto [Next, IsGivenUp] = nextToStart();
     if (!Next)
       break;
     m_Runs.dequeue(*Next);
@@ -276,7 +279,8 @@
     // while the entry may already have given up the run.
     bool IsExpired =
         m_Timers.now() - Next->m_Job->m_PlacedAt >= m_Settings.m_MaxQueueTime;
-    fireRun(Next, IsExpired ? RunEvent::Expire : RunEvent::Start, QueueTimeout);
+    fireRun(Next, IsExpired || IsGivenUp ? RunEvent::Expire : RunEvent::Start,
+            IsGivenUp ? GivenUp : QueueTimeout);
   }
   // Runs that were queued again meanwhile may start at another worker.
   if (!isServing())
@@ -284,6 +288,17 @@
   m_Hooks.m_Changed();
 }
 
+Backfill::Choice BackendSession::nextToStart() {
+  auto MayStart = [this](const Run &Waiting) { return mayStart(Waiting); };
+  TimePoint Now = m_Timers.now();
+  if (!m_Settings.m_LookAhead)
+    return {m_Runs.nextToStart(Now, MayStart)};
+  double Slowness = slowness();
+  return m_Backfill.next(
+      {m_Runs.waiting(MayStart), m_Runs.free(), Now, Slowness,
+       [&] { return expectedEnds(m_Runs.runs(), Now, Slowness); }});
+}
+
 void BackendSession::sendStart(Run &Started) {
   m_Metrics.count(Metric::StartsExecuted);
   std::uint64_t Token = m_Server.token();
@@ -507,7 +522,20 @@
   Report.m_SlowdownPercent = static_cast<std::uint32_t>(Percent * Slowness);
   Report.m_MeanRemaining = m_Runs.meanRemaining(m_Timers.now(), Slowness);
   Report.m_Waiting = m_Runs.waitingWork(m_Timers.now());
+  if (m_Settings.m_LookAhead)
+    reportExpectedEnds(Report, Slowness);
   return Report;
 }
 
+/// Entries need the ends only of a server with little room.
+void BackendSession::reportExpectedEnds(WorkerReport &Report,
+                                        double Slowness) const {
+  bool HasRoom = Report.m_Waiting.empty() &&
+                 Report.m_Free.m_MilliCores >=
+                     Report.m_Capacity.m_MilliCores / RoomDivisor;
+  if (!HasRoom)
+    Report.m_ExpectedEnds =
+        mergeEnds(expectedEnds(m_Runs.runs(), m_Timers.now(), Slowness));
+}
+
 } // namespace cyclamenwalk
--- a/packages/worker/internal/backendsession.h
+++ b/packages/worker/internal/backendsession.h
@@ -2,6 +2,7 @@
 #define CYCLAMENWALK_WORKER_INTERNAL_BACKENDSESSION_H
 
 #include "worker/internal/backendhealth.h"
+#include "worker/internal/backfill.h"
 #include "worker/internal/runtable.h"
 #include "worker/internal/serveridentity.h"
 #include "worker/internal/serverlink.h"
@@ -108,6 +109,8 @@
   TimePoint leaseLimit();
   bool mayStart(const Run &Waiting) const;
   void startWaitingRuns();
+  Backfill::Choice nextToStart();
+  void reportExpectedEnds(WorkerReport &Report, double Slowness) const;
   void sendStart(Run &Started);
   void receiveStartReply(const RunId &Id, std::uint64_t Token,
                          const OrderReply &Reply);
@@ -138,6 +141,7 @@
   /// Name of the evidence that last had an effect on the session.
   std::string_view m_LastEvidence = "announcement";
   RunTable m_Runs;
+  Backfill m_Backfill;
   BackendHealth m_Health;
   ServerLink m_Server;
   /// Whether a run keeps the lease shorter than usual.
--- a/packages/worker/internal/run.h
+++ b/packages/worker/internal/run.h
@@ -87,6 +87,9 @@
   /// When the last stop order was sent; zero before.
   TimePoint m_StopSentAt;
   TimerId m_ExpiryTimer = 0;
+  /// When a run that was placed later first started before this one, for lack
+  /// of resources; zero before.
+  TimePoint m_PassedOverSince;
   /// What proved the end, or the request that ended the run before its start.
   std::string_view m_EndEvidence;
   /// Valid in state Ended.
--- a/packages/worker/internal/runtable.cpp
+++ b/packages/worker/internal/runtable.cpp
@@ -1,6 +1,7 @@
 #include "worker/internal/runtable.h"
 
 #include "policy/types/placement.h"
+#include "worker/internal/backfill.h"
 
 #include <algorithm>
 
@@ -77,6 +78,15 @@
   return nullptr;
 }
 
+std::vector<RunPointer>
+RunTable::waiting(const std::function<bool(const Run &)> &MayStart) const {
+  std::vector<RunPointer> Waiting;
+  for (const auto &Item : m_Queue)
+    if (MayStart(*Item.second))
+      Waiting.push_back(Item.second);
+  return Waiting;
+}
+
 void RunTable::reserveResources(const Run &Started) {
   m_Used += Started.m_Job->m_Required;
   ++m_ActiveCount;
@@ -89,10 +99,7 @@
 
 Duration RunTable::forecastWait(const PlacedJob &Job, TimePoint Now,
                                 double Slowness) const {
-  std::int64_t QueuedMilliCores = 0;
-  for (const auto &Item : m_Queue)
-    if (Item.first <= Job.m_OrderKey)
-      QueuedMilliCores += Item.second->m_Job->m_Required.m_MilliCores;
+  std::int64_t QueuedMilliCores = queuedMilliCores(Job.m_OrderKey);
   if (QueuedMilliCores == 0 && free().canFit(Job.m_Required))
     return Duration::zero();
   std::int64_t FreeMilliCores = std::max<std::int64_t>(0, free().m_MilliCores);
@@ -101,6 +108,23 @@
                                   FreeMilliCores);
 }
 
+Duration RunTable::forecastWaitByEnds(const PlacedJob &Job, TimePoint Now,
+                                      double Slowness) const {
+  std::vector<ExpectedEnd> Ends = expectedEnds(runs(), Now, Slowness);
+  return cyclamenwalk::forecastWaitByEnds(
+      {m_Capacity, free(), Ends, meanRemaining(Now, Slowness)},
+      {Job.m_Required, scaled(Job.m_ExpectedRunTime, Slowness)},
+      queuedMilliCores(Job.m_OrderKey));
+}
+
+std::int64_t RunTable::queuedMilliCores(TimePoint OrderKey) const {
+  std::int64_t MilliCores = 0;
+  for (const auto &Item : m_Queue)
+    if (Item.first <= OrderKey)
+      MilliCores += Item.second->m_Job->m_Required.m_MilliCores;
+  return MilliCores;
+}
+
 std::vector<WaitingWork> RunTable::waitingWork(TimePoint Now) const {
   std::vector<WaitingWork> Steps;
   for (const auto &Item : m_Queue) {
--- a/packages/worker/internal/runtable.h
+++ b/packages/worker/internal/runtable.h
@@ -43,6 +43,10 @@
   nextToStart(TimePoint Now,
               const std::function<bool(const Run &)> &MayStart) const;
 
+  /// The runs of the queue for which \p MayStart returns true, in its order.
+  std::vector<RunPointer>
+  waiting(const std::function<bool(const Run &)> &MayStart) const;
+
   /// Counts the resources of a run as used until releaseResources().
   void reserveResources(const Run &Started);
   void releaseResources(const Run &Ended);
@@ -51,6 +55,10 @@
   Duration forecastWait(const PlacedJob &Job, TimePoint Now,
                         double Slowness) const;
 
+  /// The same from the expected ends of the runs in progress.
+  Duration forecastWaitByEnds(const PlacedJob &Job, TimePoint Now,
+                              double Slowness) const;
+
   /// The work in the queue, sorted by order key.
   std::vector<WaitingWork> waitingWork(TimePoint Now) const;
 
@@ -60,6 +68,9 @@
 private:
   using Queue = std::multimap<TimePoint, RunPointer>;
 
+  /// The cores required by the runs of the queue up to \p OrderKey.
+  std::int64_t queuedMilliCores(TimePoint OrderKey) const;
+
   Resources m_Capacity;
   Resources m_Used;
   std::size_t m_ActiveCount = 0;
--- a/packages/worker/internal/workerservice.cpp
+++ b/packages/worker/internal/workerservice.cpp
@@ -1,6 +1,7 @@
 #include "worker/internal/workerservice.h"
 
 #include "core/log.h"
+#include "policy/types/lookahead.h"
 
 #include <algorithm>
 #include <cstdlib>
@@ -22,10 +23,12 @@
          Last.m_Capacity != Current.m_Capacity;
 }
 
-bool isSignificantChange(const WorkerReport &Last,
+/// \p Age: since \p Last was sent.
+bool isSignificantChange(const WorkerReport &Last, Duration Age,
                          const WorkerReport &Current) {
   if (hasAvailabilityChanged(Last, Current) ||
-      Last.m_Waiting.size() != Current.m_Waiting.size())
+      Last.m_Waiting.size() != Current.m_Waiting.size() ||
+      haveEndsMoved(Last, Age, Current))
     return true;
   std::int64_t Capacity =
       std::max<std::int64_t>(1, Current.m_Capacity.m_MilliCores);
@@ -328,7 +331,8 @@
 
 Duration WorkerService::timeToNextReport(const LinkedEntry &Entry,
                                          const WorkerReport &Report) const {
-  Duration Period = isSignificantChange(Entry.m_LastReport, Report)
+  Duration Age = m_Timers.now() - Entry.m_LastReportAt;
+  Duration Period = isSignificantChange(Entry.m_LastReport, Age, Report)
                         ? Entry.m_ReportInterval
                         : m_Settings.m_MaxReportPeriod;
   return Entry.m_LastReportAt + Period - m_Timers.now();
@@ -338,10 +342,11 @@
                                     WorkerReport Report) {
   Report.m_IsAccepting = Report.m_IsAccepting && !Entry.m_IsWithdrawn;
   Duration SinceReport = m_Timers.now() - Entry.m_LastReportAt;
-  bool IsPeriodOver = SinceReport >= m_Settings.m_MaxReportPeriod ||
-                      hasAvailabilityChanged(Entry.m_LastReport, Report) ||
-                      (SinceReport >= Entry.m_ReportInterval &&
-                       isSignificantChange(Entry.m_LastReport, Report));
+  bool IsPeriodOver =
+      SinceReport >= m_Settings.m_MaxReportPeriod ||
+      hasAvailabilityChanged(Entry.m_LastReport, Report) ||
+      (SinceReport >= Entry.m_ReportInterval &&
+       isSignificantChange(Entry.m_LastReport, SinceReport, Report));
   bool IsNeeded = !Entry.m_IsWithdrawn || Entry.m_LastReport.m_IsAccepting;
   bool IsReportDue = Entry.m_HasUnreportedChange && IsPeriodOver && IsNeeded;
   if (Entry.m_RunResults.empty() && !IsReportDue)
--- a/packages/worker/types/backend.h
+++ b/packages/worker/types/backend.h
@@ -163,6 +163,12 @@
   /// How often an entry that gets no more reports is checked for remaining
   /// runs. Longer than a placement can be on its way.
   Duration m_WithdrawPeriod = milliseconds(500);
+  /// Whether runs that do not fit get reservations and reports list expected
+  /// ends.
+  bool m_LookAhead = false;
+  /// With m_LookAhead, how long runs that were placed later may start before a
+  /// run that does not fit.
+  Duration m_MaxPassedOver = milliseconds(150);
 };
 
 } // namespace cyclamenwalk
