--- a/bench/control_bench.cpp
+++ b/bench/control_bench.cpp
@@ -1,3 +1,4 @@
+#include "batch/batchmodule.h"
 #include "core/tests/mocks/manualtimerservice.h"
 #include "core/tests/mocks/metricsfake.h"
 #include "job/jobmodule.h"
@@ -338,6 +339,64 @@
 }
 BENCHMARK(idleLinksForASecond)->Arg(11)->Arg(196)->Arg(980);
 
+/// Control-thread time to place a job of two tasks and to take the report that
+/// follows, by number of servers.
+void placeSmallJob(benchmark::State &State) {
+  ChartFolder Charts(CW_CHART_DIR);
+  ManualTimerService Timers;
+  MetricsFake Metrics;
+  CreditRecordingLinks Links;
+  BatchSettings Settings;
+  Settings.m_LookAhead = State.range(1) != 0;
+  auto Jobs = makeBatchService(EntryIncarnation, Settings, BatchHooks{},
+                               {Charts, Links, Timers, Metrics});
+  auto Servers = static_cast<std::uint64_t>(State.range(0));
+  std::vector<std::uint64_t> PlacedByServer(Servers);
+  auto report = [&](std::uint64_t I, RunResults Body) {
+    Body.m_Report.m_Service = "gatepost";
+    Body.m_Report.m_Kind = I % 3 == 0 ? "large" : "usual";
+    Body.m_Report.m_Rack = "r" + std::to_string(I % 8);
+    Body.m_Report.m_Capacity = {32000, 262144, 0};
+    Body.m_Report.m_Free = {static_cast<std::int64_t>(I % 5) * 2000, 65536, 0};
+    Body.m_Report.m_IsAccepting = true;
+    Body.m_Report.m_MeanRemaining = milliseconds(80);
+    Body.m_Report.m_Waiting = {{milliseconds(60), 6000}};
+    Body.m_Report.m_PlacementsSeen = ~0ULL;
+    for (int End = 1; End <= 4; ++End)
+      Body.m_Report.m_ExpectedEnds.push_back(
+          {milliseconds(15 * End), {4000, 64, 0}});
+    Message Received = std::move(Body);
+    Jobs->receive({1000 + I}, Received);
+  };
+  for (std::uint64_t I = 0; I < Servers; ++I) {
+    Jobs->agentUp({"a", {1000 + I}, "", "d", Role::Agent});
+    report(I, {});
+  }
+  std::uint64_t Sequence = 0;
+  while (State.KeepRunning()) {
+    BatchSpec Spec;
+    Spec.m_Name = Spec.m_BackendName = "j" + std::to_string(++Sequence);
+    Spec.m_Service = "gatepost";
+    Spec.m_Tasks = 2;
+    Spec.m_Required = {1500, 64, 0};
+    Spec.m_EstimatedRunTime = milliseconds(100);
+    Spec.m_Deadline = seconds(2);
+    Spec.m_SlackFactor = 1.6;
+    Spec.m_TargetLatency = milliseconds(60);
+    JobId Job = Jobs->submit(std::move(Spec), [](const BatchAnswer &) {});
+    Jobs->cancel("j" + std::to_string(Sequence));
+    RunResults Ended;
+    for (std::uint32_t Task = 0; Task < 2; ++Task)
+      Ended.m_RunResults.push_back({Job, Task, 1, RunOutcome::Stopped, {}, {}});
+    report(Sequence % Servers, std::move(Ended));
+    Timers.advance(milliseconds(1));
+  }
+}
+BENCHMARK(placeSmallJob)
+    ->ArgNames({"servers", "look_ahead"})
+    ->ArgsProduct({{11, 75, 240, 980}, {0, 1}})
+    ->MinTime(0.3);
+
 std::size_t getHeapInUse() { return mallinfo2().uordblks; }
 
 /// Heap use per queued task, in jobs of 20 tasks with payloads of 100 bytes.
--- a/packages/batch/internal/workertable.cpp
+++ b/packages/batch/internal/workertable.cpp
@@ -125,7 +125,7 @@
   TimePoint Now = m_Timers.now();
   if (m_LooksAhead) {
     View.m_ExpectedEnds = Report.m_ExpectedEnds;
-    advanceEnds(View.m_ExpectedEnds, View.m_Free, Now - Reported.m_ReportedAt);
+    advanceEnds(View.m_ExpectedEnds, Now - Reported.m_ReportedAt);
   }
   for (WaitingWork &Waiting : View.m_Waiting)
     Waiting.m_OrderWithin -= Now - Reported.m_ReportedAt;
--- a/packages/policy/internal/lookahead.cpp
+++ b/packages/policy/internal/lookahead.cpp
@@ -103,12 +103,21 @@
 
 Duration forecastWaitByEnds(const ResourceForecast &Forecast,
                             const ResourceDemand &Demand,
-                            std::int64_t MilliCoresAhead) {
-  Resources Ahead{MilliCoresAhead, 0, 0};
-  if (MilliCoresAhead > 0 &&
-      canBackfill(Forecast, Demand, Ahead, extrapolatedFit(Forecast, Ahead)))
+                            const WorkAhead &Ahead) {
+  if (Ahead.m_MilliCores > 0 &&
+      canBackfill(Forecast, Demand, Ahead.m_First,
+                  extrapolatedFit(Forecast, Ahead.m_First)))
     return Duration::zero();
-  return extrapolatedFit(Forecast, Demand.m_Required + Ahead);
+  Resources Needed = Demand.m_Required + Resources{Ahead.m_MilliCores, 0, 0};
+  if (Forecast.m_Free.canFit(Needed))
+    return Duration::zero();
+  // Single ends are uncertain, and the server with the earliest one is chosen
+  // from many: the mean keeps the forecast from being too early.
+  Duration ByMean = forecastResourceWait(
+      Forecast.m_Capacity, Forecast.m_MeanRemaining,
+      Needed.m_MilliCores -
+          std::max<std::int64_t>(0, Forecast.m_Free.m_MilliCores));
+  return std::max(extrapolatedFit(Forecast, Needed), ByMean);
 }
 
 std::vector<ExpectedEnd> mergeEnds(std::vector<ExpectedEnd> Ends) {
@@ -134,16 +143,9 @@
   return Steps;
 }
 
-void advanceEnds(std::vector<ExpectedEnd> &Ends, Resources &Free,
-                 Duration Age) {
-  for (ExpectedEnd &End : Ends) {
-    End.m_Within -= Age;
-    if (End.m_Within <= Duration::zero())
-      Free += End.m_Freed;
-  }
-  std::erase_if(Ends, [](const ExpectedEnd &End) {
-    return End.m_Within <= Duration::zero();
-  });
+void advanceEnds(std::vector<ExpectedEnd> &Ends, Duration Age) {
+  for (ExpectedEnd &End : Ends)
+    End.m_Within = std::max(End.m_Within - Age, Duration::zero());
 }
 
 bool haveEndsMoved(const WorkerReport &Reported, Duration Age,
--- a/packages/policy/internal/placement.cpp
+++ b/packages/policy/internal/placement.cpp
@@ -111,21 +111,24 @@
 }
 
 Duration forecastWait(const PlacementWorker &Worker, const PlacementJob &Job) {
-  std::int64_t MilliCoresAhead = 0;
-  for (const WaitingWork &Waiting : Worker.m_Waiting)
-    if (Waiting.m_OrderWithin <= Job.m_OrderWithin)
-      MilliCoresAhead += Waiting.m_MilliCores;
+  WorkAhead Ahead;
+  for (const WaitingWork &Waiting : Worker.m_Waiting) {
+    if (Waiting.m_OrderWithin > Job.m_OrderWithin)
+      continue;
+    if (Ahead.m_MilliCores == 0)
+      Ahead.m_First.m_MilliCores = Waiting.m_MilliCores;
+    Ahead.m_MilliCores += Waiting.m_MilliCores;
+  }
   if (!Worker.m_ExpectedEnds.empty())
     return forecastWaitByEnds({Worker.m_Capacity, Worker.m_Free,
                                Worker.m_ExpectedEnds, Worker.m_MeanRemaining},
-                              {Job.m_Required, runTime(Worker, Job)},
-                              MilliCoresAhead);
-  if (MilliCoresAhead == 0 && Worker.m_Free.canFit(Job.m_Required))
+                              {Job.m_Required, runTime(Worker, Job)}, Ahead);
+  if (Ahead.m_MilliCores == 0 && Worker.m_Free.canFit(Job.m_Required))
     return Duration::zero();
   std::int64_t FreeMilliCores =
       std::max<std::int64_t>(0, Worker.m_Free.m_MilliCores);
   return forecastResourceWait(Worker.m_Capacity, Worker.m_MeanRemaining,
-                              MilliCoresAhead + Job.m_Required.m_MilliCores -
+                              Ahead.m_MilliCores + Job.m_Required.m_MilliCores -
                                   FreeMilliCores);
 }
 
--- a/packages/policy/types/lookahead.h
+++ b/packages/policy/types/lookahead.h
@@ -57,11 +57,18 @@
 bool canBackfill(const ResourceForecast &Forecast, const ResourceDemand &Demand,
                  const Resources &Reserved, Duration ReservedWithin);
 
-/// Expected wait of a task behind waiting tasks that take \p MilliCoresAhead
-/// first.
+/// Waiting tasks that start before another one.
+struct WorkAhead {
+  /// Cores required by all of them, in thousandths.
+  std::int64_t m_MilliCores = 0;
+  /// Required by the first one, which has a reservation.
+  Resources m_First;
+};
+
+/// Expected wait of a task.
 Duration forecastWaitByEnds(const ResourceForecast &Forecast,
                             const ResourceDemand &Demand,
-                            std::int64_t MilliCoresAhead);
+                            const WorkAhead &Ahead);
 
 /// Greatest number of ends in a report.
 inline constexpr std::size_t MaxReportedEnds = 6;
@@ -71,8 +78,8 @@
 std::vector<ExpectedEnd> mergeEnds(std::vector<ExpectedEnd> Ends);
 
 /// Moves ends that were reported \p Age ago to the present. Those that were due
-/// before are removed and added to \p Free.
-void advanceEnds(std::vector<ExpectedEnd> &Ends, Resources &Free, Duration Age);
+/// before are expected now: they have happened, or a report will move them.
+void advanceEnds(std::vector<ExpectedEnd> &Ends, Duration Age);
 
 /// Whether forecasts from a report that was sent \p Age ago are wrong because
 /// resources become free at other times. False if neither lists ends.
--- a/packages/worker/internal/backfill.cpp
+++ b/packages/worker/internal/backfill.cpp
@@ -45,12 +45,22 @@
   return Ends;
 }
 
-/// Runs that have been passed over for too long come before all others.
+/// Runs that have been passed over for too long come before all others, in the
+/// order of their placement.
+void Backfill::promote(BackfillView &View) const {
+  auto Promoted =
+      std::stable_partition(View.m_Waiting.begin(), View.m_Waiting.end(),
+                            [&](const RunPointer &Waiting) {
+                              return isPassedOverTooLong(*Waiting, View.m_Now);
+                            });
+  std::stable_sort(View.m_Waiting.begin(), Promoted,
+                   [](const RunPointer &Left, const RunPointer &Right) {
+                     return Left->m_Job->m_PlacedAt < Right->m_Job->m_PlacedAt;
+                   });
+}
+
 Backfill::Choice Backfill::next(BackfillView View) {
-  std::stable_partition(View.m_Waiting.begin(), View.m_Waiting.end(),
-                        [&](const RunPointer &Waiting) {
-                          return isPassedOverTooLong(*Waiting, View.m_Now);
-                        });
+  promote(View);
   std::optional<std::vector<ExpectedEnd>> Ends;
   for (std::size_t I = 0; I < View.m_Waiting.size(); ++I) {
     const RunPointer &Waiting = View.m_Waiting[I];
@@ -94,7 +104,7 @@
   if (!m_Reservation || m_Reservation->m_Run != Holder.m_Id) {
     m_Reservation = Reservation{Holder.m_Id, Within, 0, Now, {}};
     m_Metrics.count(Metric::ReservationsMade);
-    logEvent(LogLevel::Info, "reservation.made",
+    logEvent(LogLevel::Debug, "reservation.made",
              {{"task", Holder.m_Id.m_Task},
               {"run", Holder.m_Id.m_Run},
               {"millicores", Holder.m_Job->m_Required.m_MilliCores},
--- a/packages/worker/internal/backfill.h
+++ b/packages/worker/internal/backfill.h
@@ -62,6 +62,7 @@
     Duration m_HeldCoreTime{};
   };
 
+  void promote(BackfillView &View) const;
   bool isPassedOverTooLong(const Run &Waiting, TimePoint Now) const;
   std::optional<Duration> usefulReservation(const Run &Waiting,
                                             const BackfillView &View,
--- a/packages/worker/internal/runtable.cpp
+++ b/packages/worker/internal/runtable.cpp
@@ -99,7 +99,7 @@
 
 Duration RunTable::forecastWait(const PlacedJob &Job, TimePoint Now,
                                 double Slowness) const {
-  std::int64_t QueuedMilliCores = queuedMilliCores(Job.m_OrderKey);
+  std::int64_t QueuedMilliCores = workAhead(Job.m_OrderKey).m_MilliCores;
   if (QueuedMilliCores == 0 && free().canFit(Job.m_Required))
     return Duration::zero();
   std::int64_t FreeMilliCores = std::max<std::int64_t>(0, free().m_MilliCores);
@@ -114,15 +114,20 @@
   return cyclamenwalk::forecastWaitByEnds(
       {m_Capacity, free(), Ends, meanRemaining(Now, Slowness)},
       {Job.m_Required, scaled(Job.m_ExpectedRunTime, Slowness)},
-      queuedMilliCores(Job.m_OrderKey));
+      workAhead(Job.m_OrderKey));
 }
 
-std::int64_t RunTable::queuedMilliCores(TimePoint OrderKey) const {
-  std::int64_t MilliCores = 0;
-  for (const auto &Item : m_Queue)
-    if (Item.first <= OrderKey)
-      MilliCores += Item.second->m_Job->m_Required.m_MilliCores;
-  return MilliCores;
+WorkAhead RunTable::workAhead(TimePoint OrderKey) const {
+  WorkAhead Ahead;
+  for (const auto &Item : m_Queue) {
+    if (Item.first > OrderKey)
+      break;
+    const Resources &Required = Item.second->m_Job->m_Required;
+    if (Ahead.m_MilliCores == 0)
+      Ahead.m_First = Required;
+    Ahead.m_MilliCores += Required.m_MilliCores;
+  }
+  return Ahead;
 }
 
 std::vector<WaitingWork> RunTable::waitingWork(TimePoint Now) const {
--- a/packages/worker/internal/runtable.h
+++ b/packages/worker/internal/runtable.h
@@ -1,6 +1,7 @@
 #ifndef CYCLAMENWALK_WORKER_INTERNAL_RUNTABLE_H
 #define CYCLAMENWALK_WORKER_INTERNAL_RUNTABLE_H
 
+#include "policy/types/lookahead.h"
 #include "worker/internal/run.h"
 
 #include <functional>
@@ -68,8 +69,8 @@
 private:
   using Queue = std::multimap<TimePoint, RunPointer>;
 
-  /// The cores required by the runs of the queue up to \p OrderKey.
-  std::int64_t queuedMilliCores(TimePoint OrderKey) const;
+  /// The runs of the queue up to \p OrderKey.
+  WorkAhead workAhead(TimePoint OrderKey) const;
 
   Resources m_Capacity;
   Resources m_Used;
--- a/packages/worker/types/backend.h
+++ b/packages/worker/types/backend.h
@@ -168,7 +168,7 @@
   bool m_LookAhead = false;
   /// With m_LookAhead, how long runs that were placed later may start before a
   /// run that does not fit.
-  Duration m_MaxPassedOver = milliseconds(150);
+  Duration m_MaxPassedOver = milliseconds(500);
 };
 
 } // namespace cyclamenwalk
