--- a/packages/batch/internal/workertable.h
+++ b/packages/batch/internal/workertable.h
@@ -1,6 +1,7 @@
 #ifndef CYCLAMENWALK_BATCH_INTERNAL_WORKERTABLE_H
 #define CYCLAMENWALK_BATCH_INTERNAL_WORKERTABLE_H
 
+#include "batch/internal/workerindex.h"
 #include "batch/internal/workerspeeds.h"
 #include "core/itimerservice.h"
 #include "membership/types/peer.h"
@@ -18,10 +19,17 @@
 /// them and that the reports do not include yet.
 class WorkerTable {
 public:
-  /// \p LearnsSpeeds: whether each worker counts with its own speed, as far as
-  /// it is known, and not with that of its kind.
-  WorkerTable(Incarnation Entry, bool LearnsSpeeds, ITimerService &Timers)
-      : m_Entry(Entry), m_LearnsSpeeds(LearnsSpeeds), m_Timers(Timers) {}
+  struct Options {
+    /// Whether each worker counts with its own speed, as far as it is known,
+    /// and not with that of its kind.
+    bool m_LearnsSpeeds = false;
+    /// See BatchSettings::m_LookAhead.
+    bool m_LooksAhead = false;
+  };
+
+  WorkerTable(Incarnation Entry, Options Selected, ITimerService &Timers)
+      : m_Entry(Entry), m_LearnsSpeeds(Selected.m_LearnsSpeeds),
+        m_LooksAhead(Selected.m_LooksAhead), m_Timers(Timers) {}
 
   void add(const Peer &Agent);
   void remove(Incarnation Agent);
@@ -40,6 +48,12 @@
   placementWorkers(const std::string &Service,
                    const std::set<Incarnation> &ExcludedAgents);
 
+  /// The workers among which a job is placed: all of placementWorkers(), or
+  /// when looking ahead those with the most room.
+  std::vector<PlacementWorker>
+  candidates(const std::string &Service, const PlacementJob &Job,
+             const std::set<Incarnation> &ExcludedAgents);
+
   /// The slowness of workers: the ratio of run times to their estimates.
   struct ServiceSlowness {
     /// The mean over all workers.
@@ -105,6 +119,15 @@
   /// The slowness with which a worker counts, before division by the mean.
   double effectiveSlowness(const Worker &Reported,
                            const KindSlowness &Slowness) const;
+  /// The result of slownessByKind() some time ago.
+  struct RecentSlowness {
+    KindSlowness m_Slowness;
+    TimePoint m_ComputedAt;
+  };
+
+  /// The same, when looking ahead no more than SlownessPeriod old.
+  KindSlowness currentSlowness(const std::string &Service) const;
+  void index(Incarnation Agent, const Worker &Reported);
   bool isUsable(const Worker &Candidate, const std::string &Service) const;
   PlacementWorker placementWorker(const Worker &Reported,
                                   const KindSlowness &Slowness) const;
@@ -114,11 +137,16 @@
 
   const Incarnation m_Entry;
   const bool m_LearnsSpeeds;
+  const bool m_LooksAhead;
   std::uint64_t m_JitterRound = 0;
   ITimerService &m_Timers;
   std::unordered_map<Incarnation, Worker> m_Workers;
   /// By service.
   mutable std::map<std::string, LearnedSpeeds> m_LearnedSpeeds;
+  /// Empty unless m_LooksAhead.
+  WorkerIndex m_Index;
+  /// By service.
+  mutable std::map<std::string, RecentSlowness> m_RecentSlowness;
 };
 
 } // namespace cyclamenwalk
--- a/packages/batch/types/batchanswer.h
+++ b/packages/batch/types/batchanswer.h
@@ -43,6 +43,9 @@
   /// Whether each worker counts with the speed that its ends have shown, and
   /// not with that of its kind.
   bool m_LearnsSpeeds = false;
+  /// Whether forecasts use the expected ends that agents report, and jobs are
+  /// placed on a bounded number of workers with the most room.
+  bool m_LookAhead = false;
 };
 
 } // namespace cyclamenwalk
--- a/packages/core/types/metric.h
+++ b/packages/core/types/metric.h
@@ -48,6 +48,10 @@
   TailRuns,
   RunsMoved,
   FlappingReturns,
+  RunsPassedOver,
+  ReservationsMade,
+  ReservationsLapsed,
+  BackfilledStarts,
   Count
 };
 
--- a/packages/message/types/placement.h
+++ b/packages/message/types/placement.h
@@ -31,6 +31,14 @@
   std::uint32_t m_Ends = 0;
 };
 
+/// Resources that are expected to become free when runs end.
+struct ExpectedEnd {
+  /// Relative to the time of the report.
+  Duration m_Within{};
+  Resources m_Freed;
+  bool operator==(const ExpectedEnd &) const = default;
+};
+
 /// Agent to entry: the resources and the state of its worker.
 struct WorkerReport {
   std::string m_Service;
@@ -51,6 +59,9 @@
   /// report accounts for.
   std::uint64_t m_PlacementsSeen = 0;
   LearnedSpeed m_Speed;
+  /// The next ends of runs, merged into a few steps, sorted by time; empty
+  /// while the worker has room, and from an agent that doesn't look ahead.
+  std::vector<ExpectedEnd> m_ExpectedEnds;
 };
 
 /// One task of a placement.
--- a/packages/metrics/internal/metricsregistry.cpp
+++ b/packages/metrics/internal/metricsregistry.cpp
@@ -65,6 +65,13 @@
     {"runs_moved", "Runs stopped because their server leaves before they end."},
     {"flapping_returns",
      "Returns of the backend server after repeated losses."},
+    {"runs_passed_over",
+     "Waiting runs that a run placed later started before."},
+    {"reservations_made",
+     "Reservations of resources for runs that did not fit."},
+    {"reservations_lapsed",
+     "Reservations that kept too much free and were given up."},
+    {"backfilled_starts", "Runs started beside or before a reservation."},
 }};
 
 constexpr std::size_t LatencyCount = static_cast<std::size_t>(Timing::Count);
--- a/packages/policy/internal/placement.cpp
+++ b/packages/policy/internal/placement.cpp
@@ -1,5 +1,7 @@
 #include "policy/types/placement.h"
 
+#include "policy/types/lookahead.h"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -109,22 +111,32 @@
 }
 
 Duration forecastWait(const PlacementWorker &Worker, const PlacementJob &Job) {
-  std::int64_t MilliCoresAhead = 0;
-  for (const WaitingWork &Waiting : Worker.m_Waiting)
-    if (Waiting.m_OrderWithin <= Job.m_OrderWithin)
-      MilliCoresAhead += Waiting.m_MilliCores;
-  if (MilliCoresAhead == 0 && Worker.m_Free.canFit(Job.m_Required))
+  WorkAhead Ahead;
+  for (const WaitingWork &Waiting : Worker.m_Waiting) {
+    if (Waiting.m_OrderWithin > Job.m_OrderWithin)
+      continue;
+    if (Ahead.m_MilliCores == 0)
+      Ahead.m_First.m_MilliCores = Waiting.m_MilliCores;
+    Ahead.m_MilliCores += Waiting.m_MilliCores;
+  }
+  if (!Worker.m_ExpectedEnds.empty())
+    return forecastWaitByEnds({Worker.m_Capacity, Worker.m_Free,
+                               Worker.m_ExpectedEnds, Worker.m_MeanRemaining},
+                              {Job.m_Required, runTime(Worker, Job)}, Ahead);
+  if (Ahead.m_MilliCores == 0 && Worker.m_Free.canFit(Job.m_Required))
     return Duration::zero();
   std::int64_t FreeMilliCores =
       std::max<std::int64_t>(0, Worker.m_Free.m_MilliCores);
   return forecastResourceWait(Worker.m_Capacity, Worker.m_MeanRemaining,
-                              MilliCoresAhead + Job.m_Required.m_MilliCores -
+                              Ahead.m_MilliCores + Job.m_Required.m_MilliCores -
                                   FreeMilliCores);
 }
 
 void assignTask(PlacementWorker &Worker, const PlacementJob &Job,
                 Duration OrderWithin) {
-  if (Worker.m_Free.canFit(Job.m_Required)) {
+  bool MayStart = Worker.m_ExpectedEnds.empty() ||
+                  forecastWait(Worker, Job) <= Duration::zero();
+  if (MayStart && Worker.m_Free.canFit(Job.m_Required)) {
     Worker.m_Free -= Job.m_Required;
     return;
   }
--- a/packages/worker/internal/runtable.h
+++ b/packages/worker/internal/runtable.h
@@ -1,6 +1,7 @@
 #ifndef CYCLAMENWALK_WORKER_INTERNAL_RUNTABLE_H
 #define CYCLAMENWALK_WORKER_INTERNAL_RUNTABLE_H
 
+#include "policy/types/lookahead.h"
 #include "worker/internal/run.h"
 
 #include <functional>
@@ -43,6 +44,10 @@
   nextToStart(TimePoint Now,
               const std::function<bool(const Run &)> &MayStart) const;
 
+  /// The runs of the queue for which \p MayStart returns true, in its order.
+  std::vector<RunPointer>
+  waiting(const std::function<bool(const Run &)> &MayStart) const;
+
   /// Counts the resources of a run as used until releaseResources().
   void reserveResources(const Run &Started);
   void releaseResources(const Run &Ended);
@@ -51,6 +56,10 @@
   Duration forecastWait(const PlacedJob &Job, TimePoint Now,
                         double Slowness) const;
 
+  /// The same from the expected ends of the runs in progress.
+  Duration forecastWaitByEnds(const PlacedJob &Job, TimePoint Now,
+                              double Slowness) const;
+
   /// The work in the queue, sorted by order key.
   std::vector<WaitingWork> waitingWork(TimePoint Now) const;
 
@@ -60,6 +69,9 @@
 private:
   using Queue = std::multimap<TimePoint, RunPointer>;
 
+  /// The runs of the queue up to \p OrderKey.
+  WorkAhead workAhead(TimePoint OrderKey) const;
+
   Resources m_Capacity;
   Resources m_Used;
   std::size_t m_ActiveCount = 0;
--- a/packages/worker/types/backend.h
+++ b/packages/worker/types/backend.h
@@ -175,6 +175,12 @@
   /// Whether a server that was lost repeatedly gets no work for a while after
   /// its return.
   bool m_PausesAfterLosses = false;
+  /// Whether runs that do not fit get reservations and reports list expected
+  /// ends.
+  bool m_LookAhead = false;
+  /// With m_LookAhead, how long runs that were placed later may start before a
+  /// run that does not fit.
+  Duration m_MaxPassedOver = milliseconds(500);
 };
 
 } // namespace cyclamenwalk
