--- a/packages/batch/internal/workertable.cpp
+++ b/packages/batch/internal/workertable.cpp
@@ -99,14 +99,14 @@
                                       const KindSlowness &Slowness) const {
   const WorkerReport &Report = Reported.m_Report;
   double Measured = Report.m_SlowdownPercent / Percent;
-  if (!m_LearnsSpeeds) {
+  if (!Slowness.m_Learned) {
     // The running mean of a single worker mostly reflects errors of estimates,
     // so the median of its kind is used unless the worker is an outlier.
     double KindMedian = Slowness.m_ByKind.at(Report.m_Kind);
     return Measured > OutlierFactor * KindMedian ? Measured : KindMedian;
   }
-  double Learned = learnedSpeeds(Report.m_Service)
-                       .slowness(Reported.m_Peer.m_Incarnation, Report.m_Kind);
+  double Learned = Slowness.m_Learned->slowness(Reported.m_Peer.m_Incarnation,
+                                                Report.m_Kind);
   // A worker that has just become slow reports more than what it has learned.
   double ByEnds = Report.m_Speed.m_SlownessPermille / Permille;
   return Measured > OutlierFactor * std::max(Learned, ByEnds) ? Measured
@@ -157,7 +157,7 @@
   if (!m_LearnsSpeeds)
     return medianByKind(Service);
   const WorkerSpeeds &Speeds = learnedSpeeds(Service);
-  return {Speeds.byKind(), std::max(Speeds.mean(), MinSlowness)};
+  return {Speeds.byKind(), std::max(Speeds.mean(), MinSlowness), &Speeds};
 }
 
 WorkerTable::KindSlowness
--- a/packages/batch/internal/workertable.h
+++ b/packages/batch/internal/workertable.h
@@ -89,6 +89,8 @@
     std::map<std::string, double> m_ByKind;
     /// The mean over all workers, by which run time estimates are corrected.
     double m_Mean = 1;
+    /// The speeds of single workers; null unless they are learned.
+    const WorkerSpeeds *m_Learned = nullptr;
   };
 
   /// Recomputed periodically.
