Share scarce capacity among groups of jobs

Cause: one adaptive ratio for all kinds let late starts of short jobs refuse long ones with plenty of slack, and no entry knew what part of a kind's jobs was served.

Change: with BatchSettings::m_FairAdmission the ratio is kept by route and width class, and corrected by the share of the job's group (route, failure domain, width class) in what all placing entries state with PlacerState.

--- a/packages/batch/batchmodule.h
+++ b/packages/batch/batchmodule.h
@@ -6,6 +6,7 @@
 #include "core/itimerservice.h"
 #include "membership/ilinks.h"
 #include "policy/policymodule.h"
+#include "policy/types/fairshare.h"
 #include "policy/types/placement.h"
 #include "statechart/ichartsource.h"
 
@@ -20,6 +21,8 @@
   ObjectiveAdmission m_Admission = admitWithinObjective;
   WaitingOrder m_Order = orderByStartAndPriority;
   SlackControlFactory m_SlackControl = makeAdaptiveSlack;
+  /// Used with BatchSettings::m_FairAdmission.
+  ObjectiveAdmission m_FairAdmission = admitByFairShare;
 };
 
 struct BatchDependencies {
--- a/packages/batch/ibatchservice.h
+++ b/packages/batch/ibatchservice.h
@@ -25,6 +25,14 @@
 
   /// The room of the workers that accept tasks, by service.
   virtual std::vector<ServiceRoom> rooms() const = 0;
+
+  /// The recent work of each group of jobs that this service has decided on;
+  /// empty when it does not share capacity among groups.
+  virtual std::vector<GroupWork> groupWork() const = 0;
+
+  /// Replaces what is known of another entry's groupWork(); ignored if empty.
+  virtual void receiveGroupWork(Incarnation Entry,
+                                const std::vector<GroupWork> &Work) = 0;
 };
 
 } // namespace cyclamenwalk
--- a/packages/batch/internal/batchjob.h
+++ b/packages/batch/internal/batchjob.h
@@ -3,6 +3,7 @@
 
 #include "batch/types/batchanswer.h"
 #include "core/itimerservice.h"
+#include "policy/types/fairshare.h"
 #include "statechart/boundchart.h"
 
 #include <set>
@@ -75,6 +76,9 @@
   TimePoint m_LatestStart;
   TimePoint m_DeadlineAt;
   TimerId m_Timer = 0;
+  /// Set when fair admission decides on the job.
+  ShareGroup m_Group;
+  bool m_IsCountedAsServed = false;
   /// Agents on whose workers a task of this job has failed or was interrupted.
   std::set<Incarnation> m_AvoidedAgents;
   BatchAnswer m_Answer;
--- a/packages/batch/internal/batchservice.cpp
+++ b/packages/batch/internal/batchservice.cpp
@@ -13,8 +13,6 @@
 /// the next run is above the number that the server has seen.
 constexpr std::uint32_t StaleRunStep = 1000;
 constexpr Duration MinRetryAfter = seconds(1);
-constexpr double Percent = 100;
-constexpr double MaxLoggedRatio = 100;
 /// Placements of a job whose tasks agents may return instead of letting them
 /// wait; after that, tasks wait where they are.
 constexpr std::uint32_t MaxReturnablePlacements = 3;
@@ -24,10 +22,6 @@
 /// Ratio of the expected run time below which hardly any task ends.
 constexpr double MinRunTimeRatio = 0.4;
 
-int toPercent(double Ratio) {
-  return static_cast<int>(Percent * std::min(Ratio, MaxLoggedRatio));
-}
-
 BatchTaskEvent eventOf(RunOutcome Outcome) {
   switch (Outcome) {
   case RunOutcome::Succeeded:
@@ -51,7 +45,7 @@
       m_Metrics(Dependencies.m_Metrics),
       m_TaskChart(bindTask(Dependencies.m_Charts)),
       m_JobChart(bindJob(Dependencies.m_Charts)), m_Workers(Entry, m_Timers),
-      m_SlackControl(m_Hooks.m_SlackControl()),
+      m_Admission(m_Settings, m_Hooks, m_Timers, m_Metrics),
       m_StoppingRuns(m_Settings.m_LapseTime, Dependencies.m_Charts, m_Timers) {}
 
 BatchService::~BatchService() {
@@ -129,27 +123,7 @@
     refuse(Job, ResultCode::NoWorker, MinRetryAfter);
     return Id;
   }
-  bool IsAdmitted = m_Hooks.m_Admission(
-      {Plan.m_LongestWait, Plan.m_SlackUse, Request.m_StartWithin,
-       Job.m_Spec.m_Deadline - Job.m_Spec.m_Age, Request.m_ExpectedRunTime,
-       m_Workers.coreUtilization(Job.m_Spec.m_Service), m_SlackRatio,
-       Job.m_Spec.m_Priority});
-  logEvent(LogLevel::Info, IsAdmitted ? "job.admitted" : "job.refused",
-           {{"job", Job.m_Spec.m_Name},
-            {"route", Job.m_Spec.m_Route},
-            {"configuration", Job.m_Spec.m_ConfigurationVersion},
-            {"tasks", Job.m_Spec.m_Tasks},
-            {"millicores", Job.m_Spec.m_Required.m_MilliCores},
-            {"estimated_ms", toMilliseconds(Job.m_Spec.m_EstimatedRunTime)},
-            {"deadline_ms", toMilliseconds(Job.m_Spec.m_Deadline)},
-            {"wait_ms", toMilliseconds(Plan.m_LongestWait)},
-            {"slack_use_percent", toPercent(Plan.m_SlackUse)},
-            {"start_within_ms", toMilliseconds(Request.m_StartWithin)},
-            {"slack_percent", toPercent(m_SlackRatio)},
-            {"report_age_ms",
-             toMilliseconds(m_Workers.oldestReportAge(Job.m_Spec.m_Service))},
-            {"finish_ms", toMilliseconds(Plan.m_FinishWithin)}});
-  if (IsAdmitted)
+  if (m_Admission.admit(Job, Request, Plan, m_Workers))
     sendPlan(Job, Request, Plan);
   else
     refuse(Job, ResultCode::DeadlineUnreachable,
@@ -436,7 +410,7 @@
     return;
   }
   countResult(Agent, *Job, Result.m_RunOutcome);
-  updateSlackRatio(Result);
+  m_Admission.recordResult(*Job, Result);
   if (Result.m_RunOutcome == RunOutcome::StaleRun)
     Task.m_Run += StaleRunStep;
   m_TaskChart.fire(Task, eventOf(Result.m_RunOutcome));
@@ -444,14 +418,6 @@
     fireJobEvent(*Job, BatchJobEvent::TaskSucceeded);
 }
 
-void BatchService::updateSlackRatio(const RunResult &Result) {
-  bool HasStarted = Result.m_RunOutcome != RunOutcome::NotStarted &&
-                    Result.m_RunOutcome != RunOutcome::StaleRun;
-  bool IsLate = Result.m_StartMargin < Duration::zero();
-  if (HasStarted || IsLate)
-    m_SlackRatio = m_SlackControl(IsLate);
-}
-
 void BatchService::countResult(Incarnation Agent, BatchJob &Job,
                                RunOutcome Outcome) {
   switch (Outcome) {
@@ -522,6 +488,7 @@
 void BatchService::answerCallers(BatchJob &Job) {
   m_Timers.cancel(Job.m_Timer);
   const BatchAnswer &Answer = Job.m_Answer;
+  m_Admission.recordEnd(Job);
   Duration JobTime = m_Timers.now() - Job.m_SubmittedAt;
   m_Metrics.count(jobMetricOf(Answer.m_Code));
   m_Metrics.observe(Timing::BatchJob, JobTime);
@@ -548,6 +515,15 @@
   return m_Workers.rooms();
 }
 
+std::vector<GroupWork> BatchService::groupWork() const {
+  return m_Admission.groupWork();
+}
+
+void BatchService::receiveGroupWork(Incarnation Entry,
+                                    const std::vector<GroupWork> &Work) {
+  m_Admission.receiveGroupWork(Entry, Work);
+}
+
 std::size_t BatchService::running() const { return m_JobsByName.size(); }
 
 } // namespace cyclamenwalk
--- a/packages/batch/internal/batchservice.h
+++ b/packages/batch/internal/batchservice.h
@@ -3,6 +3,7 @@
 
 #include "batch/batchmodule.h"
 #include "batch/internal/batchjob.h"
+#include "batch/internal/jobadmission.h"
 #include "batch/internal/stoppingruns.h"
 #include "batch/internal/workertable.h"
 
@@ -27,6 +28,9 @@
   void receive(Incarnation Agent, Message &Body) override;
   bool hasWorkers() const override;
   std::vector<ServiceRoom> rooms() const override;
+  std::vector<GroupWork> groupWork() const override;
+  void receiveGroupWork(Incarnation Entry,
+                        const std::vector<GroupWork> &Work) override;
   std::size_t running() const override;
 
 private:
@@ -48,7 +52,6 @@
   void receiveForecast(Incarnation Agent, const DeadlineMissForecast &Forecast);
   void receiveResults(Incarnation Agent, RunResults &Body);
   void receiveResult(Incarnation Agent, const RunResult &Result);
-  void updateSlackRatio(const RunResult &Result);
   void countResult(Incarnation Agent, BatchJob &Job, RunOutcome Outcome);
   BatchJob *find(JobId Id);
   void fireJobEvent(BatchJob &Job, BatchJobEvent Event);
@@ -67,9 +70,7 @@
   const BatchTaskChart m_TaskChart;
   const BatchJobChart m_JobChart;
   WorkerTable m_Workers;
-  SlackControl m_SlackControl;
-  /// The latest result of m_SlackControl.
-  double m_SlackRatio = 1;
+  JobAdmission m_Admission;
   std::unordered_map<JobId, std::unique_ptr<BatchJob>> m_Jobs;
   /// Jobs that have not been answered.
   std::unordered_map<std::string, JobId> m_JobsByName;
--- a/packages/batch/tests/mocks/batchservicefake.h
+++ b/packages/batch/tests/mocks/batchservicefake.h
@@ -38,12 +38,21 @@
   bool hasWorkers() const override { return !m_Rooms.empty(); }
   std::vector<ServiceRoom> rooms() const override { return m_Rooms; }
 
+  std::vector<GroupWork> groupWork() const override { return m_GroupWork; }
+  void receiveGroupWork(Incarnation Entry,
+                        const std::vector<GroupWork> &Work) override {
+    m_ReceivedGroupWork.emplace_back(Entry, Work);
+  }
+
   /// Answers the job with that index in m_Submitted.
   void answer(std::size_t Index, ResultCode Code) {
     m_Callbacks.at(Index)({{}, Code, std::nullopt});
   }
 
   std::vector<ServiceRoom> m_Rooms;
+  std::vector<GroupWork> m_GroupWork;
+  std::vector<std::pair<Incarnation, std::vector<GroupWork>>>
+      m_ReceivedGroupWork;
   std::vector<BatchSpec> m_Submitted;
   std::vector<BatchCallback> m_Callbacks;
   std::vector<JobId> m_Removed;
--- a/packages/batch/tests/mocks/batchservicemock.h
+++ b/packages/batch/tests/mocks/batchservicemock.h
@@ -20,6 +20,9 @@
   MOCK_METHOD(bool, isStopping, (const std::string &), (const, override));
   MOCK_METHOD(bool, hasWorkers, (), (const, override));
   MOCK_METHOD(std::vector<ServiceRoom>, rooms, (), (const, override));
+  MOCK_METHOD(std::vector<GroupWork>, groupWork, (), (const, override));
+  MOCK_METHOD(void, receiveGroupWork,
+              (Incarnation, const std::vector<GroupWork> &), (override));
   MOCK_METHOD(std::size_t, running, (), (const, override));
 };
 
--- a/packages/batch/types/batchanswer.h
+++ b/packages/batch/types/batchanswer.h
@@ -40,6 +40,9 @@
   Duration m_LapseTime = milliseconds(1250);
   /// Factor on the run time on workers outside the rack of the data.
   double m_RemotePenalty = 1;
+  /// Whether admission shares scarce capacity among groups of jobs, with
+  /// BatchHooks::m_FairAdmission in place of m_Admission and m_SlackControl.
+  bool m_FairAdmission = false;
 };
 
 } // namespace cyclamenwalk
--- a/packages/core/internal/log.cpp
+++ b/packages/core/internal/log.cpp
@@ -3,6 +3,7 @@
 #include "core/internal/logratelimiter.h"
 
 #include <csignal>
+#include <span>
 #include <spdlog/async.h>
 #include <spdlog/sinks/null_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
@@ -83,8 +84,10 @@
   spdlog::set_default_logger(spdlog::null_logger_mt("stopped"));
 }
 
-std::string formatEvent(std::string_view Event,
-                        std::initializer_list<LogField> Fields) {
+namespace {
+
+std::string formatFields(std::string_view Event,
+                         std::span<const LogField> Fields) {
   std::string Line = "event=";
   Line += Event;
   for (const LogField &Field : Fields) {
@@ -99,8 +102,8 @@
   return Line;
 }
 
-void logEvent(LogLevel Level, std::string_view Event,
-              std::initializer_list<LogField> Fields) {
+void logFields(LogLevel Level, std::string_view Event,
+               std::span<const LogField> Fields) {
   auto SpdlogLevel = toSpdlog(Level);
   if (!spdlog::should_log(SpdlogLevel))
     return;
@@ -112,7 +115,24 @@
         formatEvent("log.rate_limited", {{"limited_event", Event},
                                          {"suppressed_lines", Suppressed}}));
   if (IsAdmitted)
-    spdlog::log(SpdlogLevel, "{}", formatEvent(Event, Fields));
+    spdlog::log(SpdlogLevel, "{}", formatFields(Event, Fields));
+}
+
+} // namespace
+
+std::string formatEvent(std::string_view Event,
+                        std::initializer_list<LogField> Fields) {
+  return formatFields(Event, {Fields.begin(), Fields.size()});
+}
+
+void logEvent(LogLevel Level, std::string_view Event,
+              std::initializer_list<LogField> Fields) {
+  logFields(Level, Event, {Fields.begin(), Fields.size()});
+}
+
+void logEvent(LogLevel Level, std::string_view Event,
+              const std::vector<LogField> &Fields) {
+  logFields(Level, Event, Fields);
 }
 
 } // namespace cyclamenwalk
--- a/packages/core/log.h
+++ b/packages/core/log.h
@@ -6,6 +6,7 @@
 #include <initializer_list>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace cyclamenwalk {
 
@@ -41,6 +42,10 @@
 void logEvent(LogLevel Level, std::string_view Event,
               std::initializer_list<LogField> Fields = {});
 
+/// The same for fields that are collected first.
+void logEvent(LogLevel Level, std::string_view Event,
+              const std::vector<LogField> &Fields);
+
 /// Formats the line that logEvent() writes, without time, level and process.
 std::string formatEvent(std::string_view Event,
                         std::initializer_list<LogField> Fields);
--- a/packages/core/types/metric.h
+++ b/packages/core/types/metric.h
@@ -16,6 +16,8 @@
   JobsUnknown,
   JobsFailed,
   JobsForwarded,
+  JobsRefusedByShare,
+  JobsAdmittedByShare,
   TasksSent,
   TasksSucceeded,
   TasksFailed,
--- a/packages/forward/forwardmodule.h
+++ b/packages/forward/forwardmodule.h
@@ -23,6 +23,8 @@
   /// The number of owners that a job is offered to. Another one is tried only
   /// when one refuses the job before placing any task.
   std::uint32_t m_MaxOwners = 2;
+  /// Of this entry, for the jobs of its callers.
+  std::string m_FailureDomain;
 };
 
 struct ForwardHooks {
--- a/packages/forward/internal/cancelledjobs.h
+++ b/packages/forward/internal/cancelledjobs.h
@@ -36,6 +36,13 @@
   }
   bool hasWorkers() const override { return m_Jobs.hasWorkers(); }
   std::vector<ServiceRoom> rooms() const override { return m_Jobs.rooms(); }
+  std::vector<GroupWork> groupWork() const override {
+    return m_Jobs.groupWork();
+  }
+  void receiveGroupWork(Incarnation Entry,
+                        const std::vector<GroupWork> &Work) override {
+    m_Jobs.receiveGroupWork(Entry, Work);
+  }
 
 private:
   const CancelledJobsSettings m_Settings;
--- a/packages/forward/internal/forwardingservice.cpp
+++ b/packages/forward/internal/forwardingservice.cpp
@@ -81,6 +81,7 @@
   Job->m_Callbacks.push_back(std::move(Callback));
   Duration AnswerWithin =
       Spec.m_Deadline - Spec.m_Age - m_Settings.m_AnswerMargin;
+  Spec.m_OriginDomain = m_Settings.m_FailureDomain;
   Job->m_Timer = m_Timers.subscribe(AnswerWithin, [this, Request] {
     if (JobPointer Expired = find(Request))
       fire(Expired, ForwardedJobEvent::Deadline);
@@ -109,6 +110,7 @@
 
 void ForwardingService::offer(const JobPointer &Job, Incarnation Owner) {
   Job->m_Owner = Owner;
+  Job->m_Spec.m_WasRefused = !Job->m_TriedOwners.empty();
   Job->m_TriedOwners.insert(Owner);
   Job->m_NextOwner.reset();
   Job->m_Spec.m_Age = m_Timers.now() - Job->m_ArrivedAt;
@@ -237,6 +239,7 @@
 
 bool ForwardingService::receive(Incarnation Entry, Message &Body) {
   if (auto *State = std::get_if<PlacerState>(&Body)) {
+    m_Dependencies.m_Jobs.receiveGroupWork(Entry, State->m_GroupWork);
     m_Placers.update(Entry, std::move(*State));
   } else if (auto *Job = std::get_if<ForwardJob>(&Body)) {
     m_OwnedJobs.receive(Entry, std::move(*Job));
@@ -282,8 +285,13 @@
   if (State == m_SentState)
     return;
   m_SentState = State;
-  for (Incarnation Entry : m_Entries)
+  auto GroupWork = m_Dependencies.m_Jobs.groupWork();
+  for (Incarnation Entry : m_Entries) {
+    // Entries without workers make no use of it.
+    State.m_GroupWork =
+        m_Placers.hasRooms(Entry) ? GroupWork : decltype(GroupWork){};
     m_Dependencies.m_Links.send(Entry, State);
+  }
 }
 
 } // namespace cyclamenwalk
--- a/packages/forward/internal/placertable.cpp
+++ b/packages/forward/internal/placertable.cpp
@@ -29,6 +29,11 @@
   return Views;
 }
 
+bool PlacerTable::hasRooms(Incarnation Entry) const {
+  auto It = m_Placers.find(Entry);
+  return It != m_Placers.end() && !It->second.m_Rooms.empty();
+}
+
 bool PlacerTable::hasAccepting() const {
   return std::any_of(m_Placers.begin(), m_Placers.end(), [](const auto &Item) {
     return Item.second.m_IsAccepting && !Item.second.m_Rooms.empty();
--- a/packages/forward/internal/placertable.h
+++ b/packages/forward/internal/placertable.h
@@ -23,6 +23,9 @@
   std::vector<PlacerView> views(const BatchSpec &Spec,
                                 const std::set<Incarnation> &Excluded) const;
 
+  /// Whether the entry is linked to workers.
+  bool hasRooms(Incarnation Entry) const;
+
   /// Whether any entry accepts jobs.
   bool hasAccepting() const;
 
--- a/packages/message/types/batchspec.h
+++ b/packages/message/types/batchspec.h
@@ -42,6 +42,11 @@
   /// Time since the job arrived at the entry that its caller is connected to.
   /// Counts against m_Deadline and the objective.
   Duration m_Age{};
+  /// The failure domain of that entry.
+  std::string m_OriginDomain;
+  /// Whether another owner has refused the job, so that it counts as offered
+  /// already.
+  bool m_WasRefused = false;
 };
 
 } // namespace cyclamenwalk
--- a/packages/message/types/forwarding.h
+++ b/packages/message/types/forwarding.h
@@ -21,12 +21,34 @@
   bool operator==(const ServiceRoom &) const = default;
 };
 
+/// The work of one group of jobs that the sender has decided on as their owner.
+/// Earlier work counts less.
+struct GroupWork {
+  std::string m_Route;
+  /// Of the entries that received the jobs from their callers.
+  std::string m_FailureDomain;
+  /// Zero for jobs of usual width.
+  std::uint32_t m_WidthClass = 0;
+  /// Of the latest job.
+  std::uint32_t m_Priority = 0;
+  double m_OfferedJobs = 0;
+  /// Those that were admitted and have not failed.
+  double m_ServedJobs = 0;
+  /// Of the offered jobs: cores times seconds, by the estimates of the callers.
+  double m_OfferedWork = 0;
+};
+
 /// Entry to entry: whether the sender places jobs of other entries, and the
 /// room it has for them.
 struct PlacerState {
   bool m_IsAccepting = false;
   std::vector<ServiceRoom> m_Rooms;
-  bool operator==(const PlacerState &) const = default;
+  /// Only in messages to entries that place jobs. Empty says nothing.
+  std::vector<GroupWork> m_GroupWork{};
+  /// Without m_GroupWork, which changes with time alone.
+  bool operator==(const PlacerState &Other) const {
+    return m_IsAccepting == Other.m_IsAccepting && m_Rooms == Other.m_Rooms;
+  }
 };
 
 /// Entry to entry: own this job. The receiver answers once, with
--- a/packages/metrics/internal/metricsregistry.cpp
+++ b/packages/metrics/internal/metricsregistry.cpp
@@ -27,6 +27,10 @@
     {"jobs_unknown", "Jobs whose outcome is unknown."},
     {"jobs_failed", "Jobs that ran and failed."},
     {"jobs_forwarded", "Offers of jobs to other entries."},
+    {"jobs_refused_by_share", "Jobs refused because their group had been "
+                              "served more than its share."},
+    {"jobs_admitted_by_share", "Jobs admitted because their group had been "
+                               "served less than its share."},
     {"tasks_sent", "Task starts sent to agents."},
     {"tasks_succeeded", "Tasks that succeeded."},
     {"tasks_failed", "Tasks that ran and failed."},
--- a/packages/policy/internal/placement.cpp
+++ b/packages/policy/internal/placement.cpp
@@ -157,8 +157,10 @@
   // The square root reduces the slack of the highest priority less.
   MaxSlackUse *=
       View.m_Priority == 0 ? std::sqrt(View.m_SlackRatio) : View.m_SlackRatio;
-  if (View.m_SlackUse > MaxSlackUse)
-    return false;
+  return View.m_SlackUse <= MaxSlackUse && canMeetDeadline(View);
+}
+
+bool canMeetDeadline(const ObjectiveView &View) {
   bool IsIdle = View.m_CoreUtilization < MaxIdleUtilization;
   Duration RunTime =
       scaled(View.m_ExpectedRunTime,
--- a/packages/policy/types/placement.h
+++ b/packages/policy/types/placement.h
@@ -122,12 +122,18 @@
   double m_CoreUtilization = 0;
   /// The ratio of the slack that may be spent on waiting, from recent starts.
   double m_SlackRatio = 1;
+  /// Factor on it that shares scarce capacity; 1 when there is enough.
+  double m_ShareCorrection = 1;
   /// Zero is the highest priority.
   std::uint32_t m_Priority = 0;
 };
 
 using ObjectiveAdmission = std::function<bool(const ObjectiveView &)>;
 
+/// Whether a job is likely to end before its deadline. While workers are idle,
+/// being possible is enough.
+bool canMeetDeadline(const ObjectiveView &View);
+
 /// For bursts: refuses a job on arrival if it would miss its objective, so that
 /// jobs behind it can still meet theirs. Lower priorities are refused earlier,
 /// which keeps resources for higher ones. A job that is likely to exceed its
--- a/packages/protocol/internal/fields.h
+++ b/packages/protocol/internal/fields.h
@@ -111,15 +111,21 @@
   Visit(Value.m_Service, Value.m_FreeMilliCores, Value.m_CapacityMilliCores,
         Value.m_Racks);
 }
+template <typename Call> void visitFields(GroupWork &Value, Call &&Visit) {
+  Visit(Value.m_Route, Value.m_FailureDomain, Value.m_WidthClass,
+        Value.m_Priority, Value.m_OfferedJobs, Value.m_ServedJobs,
+        Value.m_OfferedWork);
+}
 template <typename Call> void visitFields(PlacerState &Value, Call &&Visit) {
-  Visit(Value.m_IsAccepting, Value.m_Rooms);
+  Visit(Value.m_IsAccepting, Value.m_Rooms, Value.m_GroupWork);
 }
 template <typename Call> void visitFields(BatchSpec &Value, Call &&Visit) {
   Visit(Value.m_Name, Value.m_BackendName, Value.m_Route, Value.m_Service,
         Value.m_Spec, Value.m_Tasks, Value.m_Required, Value.m_EstimatedRunTime,
         Value.m_Rack, Value.m_Deadline, Value.m_Priority, Value.m_MaxAttempts,
         Value.m_SlackFactor, Value.m_TargetLatency,
-        Value.m_ConfigurationVersion, Value.m_Age);
+        Value.m_ConfigurationVersion, Value.m_Age, Value.m_OriginDomain,
+        Value.m_WasRefused);
 }
 template <typename Call> void visitFields(ForwardJob &Value, Call &&Visit) {
   Visit(Value.m_Request, Value.m_Spec);
--- a/review/harness.py
+++ b/review/harness.py
@@ -527,7 +527,7 @@
             "internal-port-range.0": str(ports.get("internal", 0)),
             "internal-port-range.1": str(ports["metrics"]),
             "bounds.hold-max-ms": "1000", "bounds.grace-s": "6",
-            "bounds.remote-penalty": "1.5"}
+            "bounds.remote-penalty": "1.5", "contracts": ""}
         if is_entry:
             values["listen-addrs.frontend"] = "%s:%d" % (HOST, ports["front"])
             values["listen-addrs.readiness"] = "%s:%d" % (HOST, ports["ready"])
