Tests of fair admission; widths on the border of a class

Cause: a width that exactly a tenth of the jobs have was not of the widest class, as all jobs of the same width counted as wider.

Change: half of them count.

--- a/packages/forward/tests/forwardingservice_test.cpp
+++ b/packages/forward/tests/forwardingservice_test.cpp
@@ -320,3 +320,32 @@
   EXPECT_TRUE(m_Forwarding->cancel("a1"));
   EXPECT_EQ(m_Jobs.m_Cancelled, std::vector<std::string>{"a1"});
 }
+
+/// Guards against entries that place jobs by their own figures alone, and
+/// against the bytes that others would have to read for nothing.
+TEST_F(ForwardingServiceTest, StatesTheWorkOfGroupsToPlacers) {
+  addPlacer(FirstPlacer, 500'000);
+  m_Forwarding->entryUp(entry(SecondPlacer));
+  m_Links.m_Sent.clear();
+  m_Jobs.m_GroupWork = {{"r-1", "z", 0, 0, 1, 1, 1}};
+  m_Jobs.m_Rooms = {room(500'000, {"r1"})};
+  m_Timers.advance(milliseconds(200));
+  std::map<Incarnation, std::size_t> Groups;
+  for (const auto &Sent : m_Links.sent<PlacerState>())
+    Groups[Sent.first] = Sent.second.m_GroupWork.size();
+  EXPECT_EQ(Groups, (std::map<Incarnation, std::size_t>{{FirstPlacer, 1},
+                                                        {SecondPlacer, 0}}));
+  receive(FirstPlacer, PlacerState{true, {}, m_Jobs.m_GroupWork});
+  EXPECT_EQ(m_Jobs.m_ReceivedGroupWork.back().second.size(), 1u);
+}
+
+/// Guards against a job that counts as offered at each owner that refuses it.
+TEST_F(ForwardingServiceTest, ASecondOfferSaysThatItIsOne) {
+  addPlacer(FirstPlacer, 500'000);
+  submit();
+  addPlacer(SecondPlacer, 500'000);
+  answer(FirstPlacer, offers()[0].second.m_Request, ResultCode::Draining);
+  ASSERT_EQ(offers().size(), 2u);
+  EXPECT_FALSE(offers()[0].second.m_Spec.m_WasRefused);
+  EXPECT_TRUE(offers()[1].second.m_Spec.m_WasRefused);
+}
--- a/packages/policy/internal/widthclasses.cpp
+++ b/packages/policy/internal/widthclasses.cpp
@@ -37,13 +37,14 @@
   }
   if (Known.m_Total < MinKnownJobs)
     return UsualClass;
-  double AtLeastAsWide = 0;
-  for (auto It = Known.m_Weights.lower_bound(Step); It != Known.m_Weights.end();
+  // Half of the jobs of the same width count as wider.
+  double Wider = Known.m_Weights[Step] / 2;
+  for (auto It = Known.m_Weights.upper_bound(Step); It != Known.m_Weights.end();
        ++It)
-    AtLeastAsWide += It->second;
-  if (AtLeastAsWide <= WidestPart * Known.m_Total)
+    Wider += It->second;
+  if (Wider <= WidestPart * Known.m_Total)
     return WidestClass;
-  return AtLeastAsWide <= WidePart * Known.m_Total ? WideClass : UsualClass;
+  return Wider <= WidePart * Known.m_Total ? WideClass : UsualClass;
 }
 
 } // namespace cyclamenwalk
