Count a job as offered where an owner first decides on it

Cause: a job that a draining owner passed on counted as offered nowhere, but as served at the next owner.

Change: only a refusal that the owner has decided on marks the second offer.

Result: forward_test, 40 tests pass; the new test fails without the change by its case of a draining owner.

--- a/packages/forward/internal/forwardingservice.cpp
+++ b/packages/forward/internal/forwardingservice.cpp
@@ -110,7 +110,9 @@
 
 void ForwardingService::offer(const JobPointer &Job, Incarnation Owner) {
   Job->m_Owner = Owner;
-  Job->m_Spec.m_WasRefused = !Job->m_TriedOwners.empty();
+  // Other refusals come before the owner decides, and don't count as an offer.
+  if (Job->m_Answer.m_Code == ResultCode::DeadlineUnreachable)
+    Job->m_Spec.m_WasRefused = true;
   Job->m_TriedOwners.insert(Owner);
   Job->m_NextOwner.reset();
   Job->m_Spec.m_Age = m_Timers.now() - Job->m_ArrivedAt;
--- a/packages/message/types/batchspec.h
+++ b/packages/message/types/batchspec.h
@@ -44,7 +44,7 @@
   Duration m_Age{};
   /// The failure domain of that entry.
   std::string m_OriginDomain;
-  /// Whether another owner has refused the job, so that it counts as offered
+  /// Whether an owner has decided against the job, so that it counts as offered
   /// already.
   bool m_WasRefused = false;
 };
