--- a/packages/forward/internal/forwardingservice.cpp
+++ b/packages/forward/internal/forwardingservice.cpp
@@ -23,7 +23,7 @@
                                      ForwardSettings Settings,
                                      ForwardHooks Hooks,
                                      ForwardDependencies Dependencies)
-    : m_Self(Entry), m_Settings(Settings), m_Hooks(std::move(Hooks)),
+    : m_Self(Entry), m_Settings(std::move(Settings)), m_Hooks(std::move(Hooks)),
       m_Dependencies(Dependencies), m_Timers(Dependencies.m_Timers),
       m_Chart(bindChart(Dependencies.m_Charts)),
       m_OwnedJobs(Dependencies, [this] { return currentState(); }),
--- a/packages/forward/internal/forwardmodule.cpp
+++ b/packages/forward/internal/forwardmodule.cpp
@@ -7,8 +7,8 @@
 std::unique_ptr<IForwardingService>
 makeForwardingService(Incarnation Entry, ForwardSettings Settings,
                       ForwardHooks Hooks, ForwardDependencies Dependencies) {
-  return std::make_unique<ForwardingService>(Entry, Settings, std::move(Hooks),
-                                             Dependencies);
+  return std::make_unique<ForwardingService>(Entry, std::move(Settings),
+                                             std::move(Hooks), Dependencies);
 }
 
 } // namespace cyclamenwalk
