--- a/packages/batch/types/batchanswer.h
+++ b/packages/batch/types/batchanswer.h
@@ -46,6 +46,9 @@
   /// Whether forecasts use the expected ends that agents report, and jobs are
   /// placed on a bounded number of workers with the most room.
   bool m_LookAhead = false;
+  /// Whether admission shares scarce capacity among groups of jobs, with
+  /// BatchHooks::m_FairAdmission in place of m_Admission and m_SlackControl.
+  bool m_FairAdmission = false;
 };
 
 } // namespace cyclamenwalk
--- a/packages/forward/internal/forwardingservice.cpp
+++ b/packages/forward/internal/forwardingservice.cpp
@@ -23,7 +23,7 @@
                                      ForwardSettings Settings,
                                      ForwardHooks Hooks,
                                      ForwardDependencies Dependencies)
-    : m_Self(Entry), m_Settings(Settings), m_Hooks(std::move(Hooks)),
+    : m_Self(Entry), m_Settings(std::move(Settings)), m_Hooks(std::move(Hooks)),
       m_Dependencies(Dependencies), m_Timers(Dependencies.m_Timers),
       m_Chart(bindChart(Dependencies.m_Charts)),
       m_OwnedJobs(Dependencies, [this] { return currentState(); }),
@@ -81,6 +81,7 @@
   Job->m_Callbacks.push_back(std::move(Callback));
   Duration AnswerWithin =
       Spec.m_Deadline - Spec.m_Age - m_Settings.m_AnswerMargin;
+  Spec.m_OriginDomain = m_Settings.m_FailureDomain;
   Job->m_Timer = m_Timers.subscribe(AnswerWithin, [this, Request] {
     if (JobPointer Expired = find(Request))
       fire(Expired, ForwardedJobEvent::Deadline);
@@ -109,6 +110,9 @@
 
 void ForwardingService::offer(const JobPointer &Job, Incarnation Owner) {
   Job->m_Owner = Owner;
+  // Other refusals come before the owner decides, and don't count as an offer.
+  if (Job->m_Answer.m_Code == ResultCode::DeadlineUnreachable)
+    Job->m_Spec.m_WasRefused = true;
   Job->m_TriedOwners.insert(Owner);
   Job->m_NextOwner.reset();
   Job->m_Spec.m_Age = m_Timers.now() - Job->m_ArrivedAt;
@@ -237,6 +241,7 @@
 
 bool ForwardingService::receive(Incarnation Entry, Message &Body) {
   if (auto *State = std::get_if<PlacerState>(&Body)) {
+    m_Dependencies.m_Jobs.receiveGroupWork(Entry, State->m_GroupWork);
     m_Placers.update(Entry, std::move(*State));
   } else if (auto *Job = std::get_if<ForwardJob>(&Body)) {
     m_OwnedJobs.receive(Entry, std::move(*Job));
@@ -282,8 +287,13 @@
   if (State == m_SentState)
     return;
   m_SentState = State;
-  for (Incarnation Entry : m_Entries)
+  auto GroupWork = m_Dependencies.m_Jobs.groupWork();
+  for (Incarnation Entry : m_Entries) {
+    // Entries without workers make no use of it.
+    State.m_GroupWork =
+        m_Placers.hasRooms(Entry) ? GroupWork : decltype(GroupWork){};
     m_Dependencies.m_Links.send(Entry, State);
+  }
 }
 
 } // namespace cyclamenwalk
