--- a/packages/worker/internal/backendsession.cpp
+++ b/packages/worker/internal/backendsession.cpp
@@ -293,9 +293,10 @@
   TimePoint Now = m_Timers.now();
   if (!m_Settings.m_LookAhead)
     return {m_Runs.nextToStart(Now, MayStart)};
-  double Slowness = slowness();
+  auto Waiting = m_Runs.waiting(MayStart);
+  double Slowness = Waiting.empty() ? 1 : slowness();
   return m_Backfill.next(
-      {m_Runs.waiting(MayStart), m_Runs.free(), Now, Slowness,
+      {std::move(Waiting), m_Runs.free(), Now, Slowness,
        [&] { return expectedEnds(m_Runs.runs(), Now, Slowness); }});
 }
 
