--- a/packages/core/internal/log.cpp
+++ b/packages/core/internal/log.cpp
@@ -76,6 +76,10 @@
   spdlog::set_default_logger(std::move(Logger));
 }
 
+void setLogLevel(LogLevel MinLevel) {
+  spdlog::default_logger_raw()->set_level(toSpdlog(MinLevel));
+}
+
 void stopLogging() {
   if (auto Pool = spdlog::thread_pool())
     logEvent(LogLevel::Info, "log.stopped",
--- a/packages/core/log.h
+++ b/packages/core/log.h
@@ -32,6 +32,9 @@
 /// counted.
 void startLogging(const std::string &Process, LogLevel MinLevel);
 
+/// Changes the level given to startLogging(). Callable from any thread.
+void setLogLevel(LogLevel MinLevel);
+
 /// Writes the queued lines and stops the thread. Later lines are discarded.
 void stopLogging();
 
--- a/packages/core/types/metric.h
+++ b/packages/core/types/metric.h
@@ -43,6 +43,8 @@
   OrdersUnanswered,
   OrdersNotSent,
   OrderRepeatsPrevented,
+  SettingsReloaded,
+  SettingsRejected,
   Count
 };
 
--- a/packages/membership/entrymesh.h
+++ b/packages/membership/entrymesh.h
@@ -36,6 +36,9 @@
 
   void start();
 
+  /// Replaces the seeds. Links that are up stay.
+  void setSeeds(const std::vector<std::string> &Seeds);
+
   /// Opens the links that are missing now.
   void linkEntries();
 
--- a/packages/membership/ientryselection.h
+++ b/packages/membership/ientryselection.h
@@ -16,6 +16,9 @@
   /// Starts to open links and to reopen those that go down.
   virtual void start() = 0;
 
+  /// Replaces the addresses to connect to while no link is up.
+  virtual void setSeeds(std::vector<std::string> Seeds) = 0;
+
   /// Replaces the list of entries by one that an entry or the store provided.
   virtual void setEntries(std::vector<EntryAddress> Entries) = 0;
 
--- a/packages/membership/internal/entrymesh.cpp
+++ b/packages/membership/internal/entrymesh.cpp
@@ -29,6 +29,10 @@
     linkEntries();
   }
 
+  void setSeeds(const std::vector<std::string> &Seeds) {
+    m_Seeds = {Seeds.begin(), Seeds.end()};
+  }
+
   /// Of two entries the one with the lower address opens the link; an entry
   /// that is no seed also opens the links to the seeds, which may not know its
   /// address.
@@ -106,7 +110,7 @@
 
   const EntryAddress m_Self;
   const Settings m_Settings;
-  const std::set<std::string> m_Seeds;
+  std::set<std::string> m_Seeds;
   IEntryRegistry &m_Registry;
   ILinks &m_Links;
   ITimerService &m_Timers;
@@ -125,6 +129,9 @@
 EntryMesh::~EntryMesh() = default;
 
 void EntryMesh::start() { m_Impl->start(); }
+void EntryMesh::setSeeds(const std::vector<std::string> &Seeds) {
+  m_Impl->setSeeds(Seeds);
+}
 void EntryMesh::linkEntries() { m_Impl->linkEntries(); }
 void EntryMesh::entryUp(const Peer &Entry) { m_Impl->entryUp(Entry); }
 void EntryMesh::entryDown(const Peer &Entry) { m_Impl->entryDown(Entry); }
--- a/packages/membership/internal/entryselection.cpp
+++ b/packages/membership/internal/entryselection.cpp
@@ -30,6 +30,10 @@
   check();
 }
 
+void EntrySelection::setSeeds(std::vector<std::string> Seeds) {
+  m_Settings.m_Seeds = std::move(Seeds);
+}
+
 void EntrySelection::setEntries(std::vector<EntryAddress> Entries) {
   if (Entries == m_Entries)
     return;
--- a/packages/membership/internal/entryselection.h
+++ b/packages/membership/internal/entryselection.h
@@ -17,6 +17,7 @@
   ~EntrySelection() override;
 
   void start() override;
+  void setSeeds(std::vector<std::string> Seeds) override;
   void setEntries(std::vector<EntryAddress> Entries) override;
   void addEntries(const std::vector<EntryAddress> &Entries) override;
   void setGroup(const std::string &Group) override;
@@ -47,7 +48,7 @@
   void releaseOthers(const std::vector<std::string> &Selected);
   void updateSelected(const std::vector<std::string> &Selected);
 
-  const SelectionSettings m_Settings;
+  SelectionSettings m_Settings;
   const SelectionHooks m_Hooks;
   ILinks &m_Links;
   ITimerService &m_Timers;
--- a/packages/metrics/internal/metricsregistry.cpp
+++ b/packages/metrics/internal/metricsregistry.cpp
@@ -57,6 +57,8 @@
     {"orders_not_sent", "Orders that were never written to a connection."},
     {"order_repeats_prevented",
      "Orders whose connection broke and that were not sent a second time."},
+    {"settings_reloads", "Accepted reloads of the settings file."},
+    {"settings_rejected", "Reads of a settings file that is not valid."},
 }};
 
 constexpr std::size_t LatencyCount = static_cast<std::size_t>(Timing::Count);
--- a/packages/process/internal/processlifecycle.cpp
+++ b/packages/process/internal/processlifecycle.cpp
@@ -44,6 +44,8 @@
     m_Timers.cancel(m_SettleTimer);
   }
 
+  void setDrainLimit(Duration DrainLimit) { m_DrainLimit = DrainLimit; }
+
   void fire(ProcessEvent Event) {
     ProcessState OldState = m_Context.m_State;
     m_Chart.fire(m_Context, Event);
@@ -93,7 +95,7 @@
   }
 
   const Hooks m_Hooks;
-  const Duration m_DrainLimit;
+  Duration m_DrainLimit;
   ITimerService &m_Timers;
   const Chart m_Chart;
   Context m_Context;
@@ -110,6 +112,9 @@
                                     Timers)) {}
 ProcessLifecycle::~ProcessLifecycle() = default;
 
+void ProcessLifecycle::setDrainLimit(Duration DrainLimit) {
+  m_Impl->setDrainLimit(DrainLimit);
+}
 void ProcessLifecycle::ready() { m_Impl->fire(ProcessEvent::Ready); }
 void ProcessLifecycle::drain() { m_Impl->fire(ProcessEvent::Drain); }
 bool ProcessLifecycle::isServing() const {
--- a/packages/process/internal/signalwatch.cpp
+++ b/packages/process/internal/signalwatch.cpp
@@ -21,7 +21,9 @@
     std::signal(SIGPIPE, SIG_IGN);
   }
 
-  ~Impl() {
+  ~Impl() { stop(); }
+
+  void stop() {
     if (!m_Thread.joinable())
       return;
     m_IsStopping = true;
@@ -57,4 +59,6 @@
   m_Impl->start(std::move(OnTerminate), std::move(OnReload));
 }
 
+void SignalWatch::stop() { m_Impl->stop(); }
+
 } // namespace cyclamenwalk
--- a/packages/process/processlifecycle.h
+++ b/packages/process/processlifecycle.h
@@ -28,6 +28,9 @@
                    const IChartSource &Charts, ITimerService &Timers);
   ~ProcessLifecycle();
 
+  /// Changes the limit of a drain that has not begun.
+  void setDrainLimit(Duration DrainLimit);
+
   /// Starts to serve, after startup is complete.
   void ready();
 
--- a/packages/process/signalwatch.h
+++ b/packages/process/signalwatch.h
@@ -18,6 +18,9 @@
   void start(std::function<void()> OnTerminate,
              std::function<void()> OnReload = {});
 
+  /// Ends the calls. Later signals are ignored.
+  void stop();
+
 private:
   class Impl;
   std::unique_ptr<Impl> m_Impl;
--- a/packages/settings/inidocument.h
+++ b/packages/settings/inidocument.h
@@ -31,6 +31,9 @@
 /// Parses \p Text; \p File is the file name given in problems.
 IniDocument parseIni(const std::string &Text, const std::string &File);
 
+/// Returns the texts of all values by "section.key".
+std::map<std::string, std::string> listValues(const IniDocument &Document);
+
 /// Returns the content of \p File; throws SettingsError when it cannot be read.
 std::string readFile(const std::string &File);
 
--- a/packages/settings/internal/inidocument.cpp
+++ b/packages/settings/internal/inidocument.cpp
@@ -95,6 +95,14 @@
   return Document;
 }
 
+std::map<std::string, std::string> listValues(const IniDocument &Document) {
+  std::map<std::string, std::string> Texts;
+  for (const auto &[SectionName, Section] : Document.m_Sections)
+    for (const auto &[Key, Value] : Section.m_Values)
+      Texts[SectionName + "." + Key] = Value.m_Text;
+  return Texts;
+}
+
 std::string readFile(const std::string &File) {
   std::ifstream Stream(File);
   if (!Stream)
--- a/packages/settings/internal/processsettings.cpp
+++ b/packages/settings/internal/processsettings.cpp
@@ -10,16 +10,6 @@
 constexpr std::uint32_t MaxLinks = 1000;
 constexpr std::uint32_t MaxThreads = 4096;
 
-LogLevel readLogLevel(IniReader &Reader) {
-  std::string Level = Reader.choice("process", "log_level", "info",
-                                    {"debug", "info", "warning", "error"});
-  if (Level == "debug")
-    return LogLevel::Debug;
-  if (Level == "warning")
-    return LogLevel::Warning;
-  return Level == "error" ? LogLevel::Error : LogLevel::Info;
-}
-
 ProcessSettings readProcessSettings(IniReader &Reader) {
   ProcessSettings Settings;
   Settings.m_Name = Reader.requiredName("process", "name");
@@ -42,6 +32,16 @@
 
 } // namespace
 
+LogLevel readLogLevel(IniReader &Reader) {
+  std::string Level = Reader.choice("process", "log_level", "info",
+                                    {"debug", "info", "warning", "error"});
+  if (Level == "debug")
+    return LogLevel::Debug;
+  if (Level == "warning")
+    return LogLevel::Warning;
+  return Level == "error" ? LogLevel::Error : LogLevel::Info;
+}
+
 EntrySettings readEntrySettings(const std::string &File) {
   IniReader Reader(parseIni(readFile(File), File));
   EntrySettings Settings;
--- a/packages/settings/processsettings.h
+++ b/packages/settings/processsettings.h
@@ -3,6 +3,7 @@
 
 #include "core/log.h"
 #include "core/types/time.h"
+#include "settings/inireader.h"
 
 #include <cstdint>
 #include <string>
@@ -63,6 +64,9 @@
 EntrySettings readEntrySettings(const std::string &File);
 AgentSettings readAgentSettings(const std::string &File);
 
+/// Reads the key log_level in the section [process].
+LogLevel readLogLevel(IniReader &Reader);
+
 } // namespace cyclamenwalk
 
 #endif // CYCLAMENWALK_SETTINGS_PROCESSSETTINGS_H
