--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -1,156 +1,17 @@
-#include "http/blockinghttp.h"
-#include "platform/base64.h"
-#include "runner/runnerstandin.h"
-#include "support/childprocess.h"
+#include "integration/platformfixture.h"
 
 #include <csignal>
-#include <filesystem>
-#include <fstream>
 #include <future>
-#include <gtest/gtest.h>
-#include <nlohmann/json.hpp>
 
 using namespace cyclamenwalk;
-using Json = nlohmann::json;
 
 namespace {
 
 constexpr int BasePort = 22400;
-constexpr int StorePort = BasePort + 90;
-constexpr int AgentPort = BasePort + 10;
-constexpr int RunnerPort = BasePort + 50;
-constexpr int MetricsPort = BasePort + 70;
-constexpr Duration ReadyTimeout = seconds(20);
-constexpr Duration PollPeriod = milliseconds(50);
 
-std::string address(int Port) { return "127.0.0.1:" + std::to_string(Port); }
-
-/// Runs a store, one entry and two agents as separate processes, with runners
-/// in the test process.
-class PlatformTest : public testing::Test {
+class PlatformTest : public PlatformFixture {
 protected:
-  PlatformTest() {
-    std::string Pattern =
-        (std::filesystem::temp_directory_path() / "platform-XXXXXX").string();
-    m_Folder = mkdtemp(Pattern.data());
-    m_Store = start(
-        {std::string(CW_BINARY_DIR) + "/standin-platform", address(StorePort)},
-        "store", "");
-    waitUntil([this] { return writeConfiguration(); });
-    m_Entry = startProgram("entry", 0);
-    for (int I = 0; I < AgentCount; ++I) {
-      m_Agents.push_back(startProgram("agent", I));
-      RunnerOptions Options;
-      Options.m_Id = "i-" + std::to_string(I);
-      Options.m_Listen = address(RunnerPort + I);
-      Options.m_Agent = address(AgentPort + I);
-      m_Runners.push_back(std::make_unique<RunnerStandin>(Options, m_Observer));
-    }
-    waitUntil([this] { return isReady(); });
-  }
-
-  ~PlatformTest() override { std::filesystem::remove_all(m_Folder); }
-
-  static constexpr int AgentCount = 2;
-
-  std::unique_ptr<ChildProcess> start(const std::vector<std::string> &Command,
-                                      const std::string &Name,
-                                      const std::string &Settings) {
-    if (!Settings.empty())
-      setenv("CYCLAMENWALK_SETTINGS", Settings.c_str(), 1);
-    return std::make_unique<ChildProcess>(Command,
-                                          m_Folder + "/" + Name + ".log");
-  }
-
-  std::unique_ptr<ChildProcess> startProgram(const std::string &Role,
-                                             int Index) {
-    bool IsEntry = Role == "entry";
-    std::string Name = Role + "-" + std::to_string(Index);
-    std::string File = m_Folder + "/" + Name + ".ini";
-    int Calls = IsEntry ? BasePort : AgentPort + Index;
-    int Messages = IsEntry ? BasePort + 1 : AgentPort + 20 + Index;
-    std::ofstream Stream(File);
-    Stream << "[process]\nname = " << Name
-           << "\nfailure_domain = z\ncharts = " << CW_CHART_DIR
-           << "\n[listen]\nmessages = " << address(Messages)
-           << "\ncalls = " << address(Calls)
-           << "\nmetrics = " << address(MetricsPort + (IsEntry ? 0 : 1 + Index))
-           << "\n";
-    if (IsEntry)
-      Stream << "readiness = " << address(BasePort + 2) << "\n";
-    Stream << "[entries]\nseeds = " << address(BasePort + 1)
-           << "\n[store]\naddress = " << address(StorePort) << "\n";
-    Stream.close();
-    return start({std::string(CW_BINARY_DIR) + "/cyclamenwalk-site", Role},
-                 Name, File);
-  }
-
-  bool writeConfiguration() {
-    Json Route{{"name", "r"},
-               {"host", "127.0.0.1"},
-               {"path-prefix", "/q/"},
-               {"service", "gatepost"},
-               {"max-attempts", 2},
-               {"slack-factor", 1.6},
-               {"target-latency-ms", 60}};
-    Json Configuration{{"version", 3},
-                       {"routes", {Route}},
-                       {"services", {{{"name", "gatepost"}}}}};
-    HttpRequest Request;
-    Request.m_Method = "POST";
-    Request.m_Url = "http://" + address(StorePort) + "/rows-tx";
-    Request.m_Body = Json{
-        {"expected-revision", Json::array()},
-        {"set-keys",
-         {{{"table", "op"},
-           {"part", ""},
-           {"key", "config"},
-           {"value", toBase64(Configuration.dump())}}}},
-        {"remove",
-         Json::array()}}.dump();
-    return sendHttpRequest(Request, seconds(1)).m_Status == 200;
-  }
-
-  static bool isReady() {
-    HttpRequest Request;
-    Request.m_Url = "http://" + address(BasePort + 2) + "/readyz";
-    return sendHttpRequest(Request, seconds(1)).m_Status == 200;
-  }
-
-  template <typename Predicate> static void waitUntil(Predicate Condition) {
-    TimePoint End = Clock::now() + ReadyTimeout;
-    while (!Condition()) {
-      ASSERT_LT(Clock::now(), End) << "condition not met within "
-                                   << toMilliseconds(ReadyTimeout) << " ms";
-      std::this_thread::sleep_for(PollPeriod);
-    }
-  }
-
-  /// Submits a job of \p Tasks tasks with a run time of \p RunTime each.
-  static HttpResponse submit(const std::string &Name, int Tasks,
-                             Duration RunTime) {
-    auto Milliseconds = toMilliseconds(RunTime);
-    HttpRequest Request;
-    Request.m_Method = "POST";
-    Request.m_Url = "http://" + address(BasePort) + "/q/" + Name;
-    Request.m_Headers["X-Cyclamenwalk-Deadline-Ms"] = "9000";
-    Request.m_Body = Json{{"spec", std::to_string(Milliseconds)},
-                          {"best-effort", true},
-                          {"steps",
-                           {{{"count", Tasks},
-                             {"cpu", 1000},
-                             {"mem-mb", 16},
-                             {"estimated-ms", Milliseconds}}}}}
-                         .dump();
-    return sendHttpRequest(Request, seconds(10));
-  }
-
-  std::string m_Folder;
-  RunOverlapCounter m_Observer;
-  std::unique_ptr<ChildProcess> m_Store;
-  std::unique_ptr<ChildProcess> m_Entry;
-  std::vector<std::unique_ptr<ChildProcess>> m_Agents;
-  std::vector<std::unique_ptr<RunnerStandin>> m_Runners;
+  PlatformTest() : PlatformFixture(BasePort) {}
 };
 
 } // namespace
@@ -161,12 +22,12 @@
   EXPECT_EQ(Answer.m_Body, R"({"state":"completed"})");
   EXPECT_EQ(m_Observer.starts(), 8);
   HttpRequest UnknownRoute;
-  UnknownRoute.m_Url = "http://" + address(BasePort) + "/other/";
+  UnknownRoute.m_Url = "http://" + address(0) + "/other/";
   EXPECT_EQ(sendHttpRequest(UnknownRoute, seconds(2)).m_Status, 404);
 }
 
 TEST_F(PlatformTest, killedAgentFailsItsJobsWithoutOverlappingRuns) {
-  auto FirstResponse = std::async(std::launch::async, [] {
+  auto FirstResponse = std::async(std::launch::async, [this] {
     return submit("00000000000000b1", 20, seconds(6));
   });
   waitUntil([this] { return m_Observer.starts() == 20; });
@@ -180,7 +41,7 @@
 }
 
 TEST_F(PlatformTest, pausedEntryLosesItsRunsAndRecovers) {
-  auto FirstResponse = std::async(std::launch::async, [] {
+  auto FirstResponse = std::async(std::launch::async, [this] {
     return submit("00000000000000c1", 4, seconds(6));
   });
   waitUntil([this] { return m_Observer.starts() == 4; });
@@ -188,14 +49,14 @@
   std::this_thread::sleep_for(milliseconds(1500));
   m_Entry->signal(SIGCONT);
   EXPECT_NE(FirstResponse.get().m_Status, 200);
-  waitUntil([] {
+  waitUntil([this] {
     return submit("00000000000000c2", 2, milliseconds(50)).m_Status == 200;
   });
   EXPECT_EQ(m_Observer.overlaps(), 0);
 }
 
 TEST_F(PlatformTest, stoppedEntryAnswersAcceptedJobs) {
-  auto FirstResponse = std::async(std::launch::async, [] {
+  auto FirstResponse = std::async(std::launch::async, [this] {
     return submit("00000000000000d1", 4, seconds(1));
   });
   waitUntil([this] { return m_Observer.starts() == 4; });
