Check configurations for mistakes that reading them lets pass

A route that can never match, limits that contradict each other or a service that nothing uses were noticed only when requests failed, and wrong types in the platform's JSON are replaced by defaults in silence. 'cyclamenwalk config check' and 'cyclamenwalk-site check-config' report them with line, name and number, as text or JSON, and the differences from a file or the version in force.

--- a/packages/cli/internal/command.cpp
+++ b/packages/cli/internal/command.cpp
@@ -30,6 +30,7 @@
 std::vector<Command> makeCommands(const StoreFactory &MakeStore) {
   std::vector<Command> Commands;
   addLocalCommands(Commands, MakeStore);
+  addConfigCommand(Commands);
   addRemoteCommands(Commands);
   return Commands;
 }
--- a/packages/cli/internal/command.h
+++ b/packages/cli/internal/command.h
@@ -31,6 +31,9 @@
 void addLocalCommands(std::vector<Command> &Commands,
                       const StoreFactory &MakeStore);
 
+/// Adds the command that checks a configuration for mistakes.
+void addConfigCommand(std::vector<Command> &Commands);
+
 /// Runs \p Cmd with the options and values in \p Arguments.
 ExitStatus runCommand(const Command &Cmd,
                       const std::vector<std::string> &Arguments);
--- a/packages/cli/tests/cli_test.cpp
+++ b/packages/cli/tests/cli_test.cpp
@@ -59,6 +59,27 @@
   EXPECT_THAT(Bad.m_Err, HasSubstr(File + ":3: error 1004"));
 }
 
+TEST(Cli, configCheckTellsFindingsFromFilesThatItCannotCheck) {
+  std::string Valid = examplePath("gatepost.ini");
+  EXPECT_EQ(static_cast<int>(CliRun({"config", "check", Valid}).m_Status), 0);
+  CliRun Broken({"config", "check", examplePath("broken-limits.ini")});
+  EXPECT_EQ(static_cast<int>(Broken.m_Status), 1);
+  EXPECT_THAT(Broken.m_Out, HasSubstr("warning 1302 in service gatepost"));
+  EXPECT_EQ(static_cast<int>(CliRun({"config", "check", "/none"}).m_Status), 2);
+  // The version in force is needed for the comparison.
+  CliRun Unreachable(
+      {"config", "check", Valid, "--against", "3", "--entry", "127.0.0.1:1"});
+  EXPECT_EQ(static_cast<int>(Unreachable.m_Status), 2);
+  EXPECT_EQ(CliRun({"config", "chec", Valid}).m_Status, ExitStatus::Usage);
+}
+
+TEST(Cli, configCheckComparesWithAnotherFile) {
+  CliRun Compared({"config", "check", examplePath("gatepost.ini"), "--against",
+                   examplePath("voitelupalvelu.ini"), "--json"});
+  EXPECT_EQ(Compared.m_Status, ExitStatus::Ok);
+  EXPECT_THAT(Compared.m_Out, HasSubstr("+ team vending weight = 4"));
+}
+
 TEST(Cli, reportsUnreachableEntry) {
   CliRun Status({"status", "--entry", "127.0.0.1:1"});
   EXPECT_EQ(Status.m_Status, ExitStatus::Unreachable);
--- a/packages/configuration/internal/desiredstate.cpp
+++ b/packages/configuration/internal/desiredstate.cpp
@@ -1,5 +1,7 @@
 #include "configuration/types/desiredstate.h"
 
+#include <sstream>
+
 namespace cyclamenwalk {
 
 namespace {
@@ -12,6 +14,12 @@
 
 std::string text(std::uint32_t Value) { return std::to_string(Value); }
 
+std::string text(double Value) {
+  std::ostringstream Stream;
+  Stream << Value;
+  return Stream.str();
+}
+
 std::string text(const std::set<std::string> &Names) {
   std::string Joined;
   for (const std::string &Name : Names)
@@ -39,8 +47,24 @@
   Values[Prefix + "services"] = text(Config.m_Services);
 }
 
+void flatten(FlatValues &Values, const RouteConfig &Config) {
+  std::string Prefix = "route " + Config.m_Name + " ";
+  Values[Prefix + "host"] = Config.m_Host;
+  Values[Prefix + "path_prefix"] = Config.m_PathPrefix;
+  Values[Prefix + "service"] = Config.m_Service;
+  Values[Prefix + "priority"] = text(Config.m_Priority);
+  Values[Prefix + "max_attempts"] = text(Config.m_MaxAttempts);
+  Values[Prefix + "slack_factor"] = text(Config.m_SlackFactor);
+  Values[Prefix + "target_latency"] = text(Config.m_TargetLatency);
+  Values[Prefix + "timeout"] = text(Config.m_Timeout);
+  Values[Prefix + "recommendation"] =
+      Config.m_RequiresRecommendation ? "yes" : "no";
+}
+
 FlatValues flatten(const DesiredState &State) {
   FlatValues Values;
+  for (const RouteConfig &Route : State.m_Routes)
+    flatten(Values, Route);
   for (const auto &NameAndConfig : State.m_Services)
     flatten(Values, NameAndConfig.first, NameAndConfig.second);
   for (const auto &NameAndConfig : State.m_Teams)
--- a/packages/membership/tests/entryselection_test.cpp
+++ b/packages/membership/tests/entryselection_test.cpp
@@ -53,6 +53,20 @@
   EXPECT_EQ(LookupCount, 2);
 }
 
+// Guards against an agent that keeps to the addresses it was started with after
+// all of them have been replaced.
+TEST(EntrySelection, newSeedsAreUsedForTheNextConnections) {
+  ManualTimerService Timers;
+  testing::NiceMock<LinksMock> Links;
+  EntrySelection Selection({"agent", {"10.0.0.1:1"}},
+                           {[] {}, nullptr, selectAllEntries}, Links, Timers);
+  EXPECT_CALL(Links, connect("10.0.0.1:1")).Times(1);
+  EXPECT_CALL(Links, connect("10.0.0.2:1")).Times(1);
+  Selection.start();
+  Selection.setSeeds({"10.0.0.2:1"});
+  Timers.advance(seconds(1));
+}
+
 TEST(Placers, areTheEntriesOfAtLeastHalfOfTheLargestShare) {
   auto Members = {address("a", 1, 500), address("b", 2, 120),
                   address("c", 3, 250)};
--- a/packages/process/tests/process_test.cpp
+++ b/packages/process/tests/process_test.cpp
@@ -1,8 +1,12 @@
 #include "core/tests/mocks/manualtimerservice.h"
 #include "process/processlifecycle.h"
+#include "process/settingsfile.h"
 #include "statechart/chartfolder.h"
 
+#include <filesystem>
+#include <fstream>
 #include <gtest/gtest.h>
+#include <sys/stat.h>
 
 using namespace cyclamenwalk;
 
@@ -51,6 +55,15 @@
   EXPECT_EQ(Fixture.m_StopCount, 1);
 }
 
+TEST(ProcessLifecycle, newDrainLimitHoldsForTheNextDrain) {
+  LifecycleFixture Fixture;
+  Fixture.m_Lifecycle.ready();
+  Fixture.m_Lifecycle.setDrainLimit(seconds(2));
+  Fixture.m_Lifecycle.drain();
+  Fixture.m_Timers.advance(seconds(3));
+  EXPECT_EQ(Fixture.m_LeaveCount, 1);
+}
+
 TEST(ProcessLifecycle, secondDrainStopsAtOnce) {
   LifecycleFixture Fixture;
   Fixture.m_Lifecycle.ready();
@@ -60,3 +73,39 @@
   Fixture.m_Timers.advance(seconds(20));
   EXPECT_EQ(Fixture.m_StopCount, 1);
 }
+
+TEST(SettingsFile, stampChangesWhenTheFileIsWrittenOrReplaced) {
+  std::string Path = testing::TempDir() + "settingsfile.ini";
+  std::filesystem::remove(Path);
+  SettingsFile File(Path);
+  EXPECT_EQ(File.stamp(), std::nullopt);
+  EXPECT_EQ(File.read(), std::nullopt);
+  std::ofstream(Path) << "a";
+  auto First = File.stamp();
+  EXPECT_EQ(File.read(), "a");
+  EXPECT_EQ(File.stamp(), First);
+  std::ofstream(Path, std::ios::app) << "b";
+  auto Second = File.stamp();
+  EXPECT_NE(Second, First);
+  // A file of the same size and time that took the place of this one.
+  std::filesystem::copy(Path, Path + ".new",
+                        std::filesystem::copy_options::overwrite_existing);
+  std::filesystem::last_write_time(Path + ".new",
+                                   std::filesystem::last_write_time(Path));
+  std::filesystem::rename(Path + ".new", Path);
+  EXPECT_NE(File.stamp(), Second);
+  std::filesystem::remove(Path);
+}
+
+// Guards against a control thread that waits for a writer, or that reads
+// without end.
+TEST(SettingsFile, otherFilesAreNotRead) {
+  std::string Path = testing::TempDir() + "settingsfile.fifo";
+  std::filesystem::remove(Path);
+  ASSERT_EQ(mkfifo(Path.c_str(), S_IRUSR | S_IWUSR), 0);
+  EXPECT_EQ(SettingsFile(Path).read(), std::nullopt);
+  std::filesystem::remove(Path);
+  std::ofstream(Path).seekp(2 * 1024 * 1024) << "x";
+  EXPECT_EQ(SettingsFile(Path).read(), std::nullopt);
+  std::filesystem::remove(Path);
+}
--- a/tests/integration/reload_test.cpp
+++ b/tests/integration/reload_test.cpp
@@ -1,4 +1,5 @@
 #include "integration/platformfixture.h"
+#include "platform/programs.h"
 
 #include <csignal>
 
@@ -91,3 +92,18 @@
   expectServing("00000000000000a2");
   EXPECT_EQ(countInLog("entry-0", "event=settings.reloaded"), 0);
 }
+
+// Guards against a comparison with another version than the operator means.
+TEST_F(ReloadTest, configurationIsComparedWithTheVersionInForce) {
+  std::string File = m_Folder + "/next.json";
+  std::ofstream(File) << R"({"version": 4, "routes": [], "services": []})";
+  auto Check = [&](const std::string &Version) {
+    return runConfigurationCheck(
+        {File, "--against", Version, "--store", address(StoreOffset)});
+  };
+  testing::internal::CaptureStdout();
+  EXPECT_EQ(Check("3"), 0);
+  std::string Output = testing::internal::GetCapturedStdout();
+  EXPECT_NE(Output.find("- route r max_attempts = 2\n"), std::string::npos);
+  EXPECT_EQ(Check("2"), 2);
+}
