Reload the settings of the programs that run without the platform too

SIGHUP had no effect on them. An entry or agent without the platform applies the log level and the drain limit at once, an agent also the addresses of its entries.

--- a/packages/agent/internal/agentprogram.cpp
+++ b/packages/agent/internal/agentprogram.cpp
@@ -12,6 +12,7 @@
 #include "membership/membershipmodule.h"
 #include "metrics/metricsregistry.h"
 #include "process/chartlocation.h"
+#include "process/filereload.h"
 #include "process/processlifecycle.h"
 #include "process/signalwatch.h"
 #include "rowcodec/rowcodecs.h"
@@ -53,6 +54,8 @@
       : m_Settings(Settings), m_Process(Settings.m_Process),
         m_Self(makeIdentity()), m_Charts(chartLocation(m_Process.m_Charts)),
         m_Metrics(m_Process.m_Name, m_Process.m_FailureDomain),
+        m_Reload(m_Process.m_Source, parseAgentSettings, m_Charts, m_Loop,
+                 m_Metrics),
         m_Store(makeStore(
             {m_Process.m_PlatformAddress, m_Process.m_PlatformTimeout},
             MakeStore, m_Loop, m_Loop, m_Metrics)),
@@ -76,13 +79,18 @@
         m_Http({m_Process.m_HttpListen, m_Process.m_BodyLimit}) {
     setLinkHooks();
     addHttpRoutes();
+    subscribeToSettings();
   }
 
   void run() {
     m_Charts.preload();
     m_Loop.tryPost([this] { start(); });
-    m_Signals.start([this] { m_Loop.post([this] { m_Lifecycle.drain(); }); });
+    m_Loop.tryPost([this] { m_Reload.start(); });
+    m_Signals.start(
+        [this] { m_Loop.post([this] { m_Lifecycle.drain(); }); },
+        [this] { m_Loop.post([this] { m_Reload.requestReload(); }); });
     m_Loop.run();
+    m_Signals.stop();
     m_Http.stop(HttpStopTimeout);
     m_Transport.stop();
     logEvent(LogLevel::Info, "process.ended");
@@ -105,6 +113,19 @@
             [this] { m_Loop.stop(); }};
   }
 
+  void subscribeToSettings() {
+    m_Reload.applyAtOnce({"process.log_level"}, [](const AgentSettings &New) {
+      setLogLevel(New.m_Process.m_LogLevel);
+    });
+    m_Reload.applyAtOnce({"drain.limit"}, [this](const AgentSettings &New) {
+      m_Lifecycle.setDrainLimit(New.m_Process.m_DrainLimit);
+    });
+    m_Reload.applyAtOnce({"entries.addresses"},
+                         [this](const AgentSettings &New) {
+                           m_Selection->setSeeds(New.m_Entries);
+                         });
+  }
+
   void setLinkHooks() {
     m_Links->setHooks(
         {[this](const Peer &Entry) { handleEntryUp(Entry); },
@@ -251,6 +272,7 @@
   const ChartFolder m_Charts;
   ControlLoop m_Loop;
   MetricsRegistry m_Metrics;
+  FileReload<AgentSettings> m_Reload;
   const std::unique_ptr<IStore> m_Store;
   MultiplexHttp m_TaskClient;
   MultiplexHttp m_ControlClient;
--- a/packages/entry/internal/entryprogram.cpp
+++ b/packages/entry/internal/entryprogram.cpp
@@ -13,6 +13,7 @@
 #include "job/jobmodule.h"
 #include "membership/membershipmodule.h"
 #include "process/chartlocation.h"
+#include "process/filereload.h"
 #include "process/signalwatch.h"
 #include "request/requestmodule.h"
 #include "rowcodec/rowcodecs.h"
@@ -43,6 +44,8 @@
       : m_Settings(Settings), m_Process(Settings.m_Process),
         m_Self(makeEntryAddress()), m_Charts(chartLocation(m_Process.m_Charts)),
         m_Metrics(m_Process.m_Name, m_Process.m_FailureDomain),
+        m_Reload(m_Process.m_Source, parseEntrySettings, m_Charts, m_Loop,
+                 m_Metrics),
         m_Store(makeStore(
             {m_Process.m_PlatformAddress, m_Process.m_PlatformTimeout},
             MakeStore, m_Loop, m_Loop, m_Metrics)),
@@ -74,13 +77,18 @@
         m_Http({m_Process.m_HttpListen, m_Process.m_BodyLimit}) {
     setLinkHooks();
     addHttpRoutes();
+    subscribeToSettings();
   }
 
   void run() {
     m_Charts.preload();
     m_Loop.tryPost([this] { start(); });
-    m_Signals.start([this] { m_Loop.post([this] { m_Lifecycle.drain(); }); });
+    m_Loop.tryPost([this] { m_Reload.start(); });
+    m_Signals.start(
+        [this] { m_Loop.post([this] { m_Lifecycle.drain(); }); },
+        [this] { m_Loop.post([this] { m_Reload.requestReload(); }); });
     m_Loop.run();
+    m_Signals.stop();
     m_Http.stop(HttpStopTimeout);
     m_Transport.stop();
     logEvent(LogLevel::Info, "process.ended");
@@ -138,6 +146,15 @@
     }
   }
 
+  void subscribeToSettings() {
+    m_Reload.applyAtOnce({"process.log_level"}, [](const EntrySettings &New) {
+      setLogLevel(New.m_Process.m_LogLevel);
+    });
+    m_Reload.applyAtOnce({"drain.limit"}, [this](const EntrySettings &New) {
+      m_Lifecycle.setDrainLimit(New.m_Process.m_DrainLimit);
+    });
+  }
+
   void setLinkHooks() {
     m_Links->setHooks({[this](const Peer &Agent) { handleAgentUp(Agent); },
                        [this](Incarnation Agent, Message &Body) {
@@ -239,6 +256,7 @@
   const ChartFolder m_Charts;
   ControlLoop m_Loop;
   MetricsRegistry m_Metrics;
+  FileReload<EntrySettings> m_Reload;
   const std::unique_ptr<IStore> m_Store;
   MultiplexHttp m_Client;
   TransportModule m_Transport;
--- a/packages/settings/internal/processsettings.cpp
+++ b/packages/settings/internal/processsettings.cpp
@@ -43,9 +43,14 @@
 }
 
 EntrySettings readEntrySettings(const std::string &File) {
-  IniReader Reader(parseIni(readFile(File), File));
+  return parseEntrySettings({File, readFile(File)});
+}
+
+EntrySettings parseEntrySettings(const SettingsSource &Source) {
+  IniReader Reader(parseIni(Source.m_Text, Source.m_Path));
   EntrySettings Settings;
   Settings.m_Process = readProcessSettings(Reader);
+  Settings.m_Process.m_Source = Source;
   Settings.m_Peers = Reader.addresses("peers", "http");
   Settings.m_OperatorToken = Reader.text("operators", "token", "");
   Settings.m_MaxJobs =
@@ -71,9 +76,14 @@
 }
 
 AgentSettings readAgentSettings(const std::string &File) {
-  IniReader Reader(parseIni(readFile(File), File));
+  return parseAgentSettings({File, readFile(File)});
+}
+
+AgentSettings parseAgentSettings(const SettingsSource &Source) {
+  IniReader Reader(parseIni(Source.m_Text, Source.m_Path));
   AgentSettings Settings;
   Settings.m_Process = readProcessSettings(Reader);
+  Settings.m_Process.m_Source = Source;
   Settings.m_Entries = Reader.addresses("entries", "addresses");
   Settings.m_Links =
       Reader.number("entries", "links", Settings.m_Links, 1, MaxLinks);
--- a/packages/settings/processsettings.h
+++ b/packages/settings/processsettings.h
@@ -4,6 +4,7 @@
 #include "core/log.h"
 #include "core/types/time.h"
 #include "settings/inireader.h"
+#include "settings/types/settingssource.h"
 
 #include <cstdint>
 #include <string>
@@ -13,6 +14,7 @@
 
 /// Settings that entries and agents have in common.
 struct ProcessSettings {
+  SettingsSource m_Source;
   std::string m_Name;
   std::string m_FailureDomain;
   /// Folder of the state charts; empty for the folder installed with the
@@ -64,6 +66,10 @@
 EntrySettings readEntrySettings(const std::string &File);
 AgentSettings readAgentSettings(const std::string &File);
 
+/// Read the text in \p Source; throw SettingsError as well.
+EntrySettings parseEntrySettings(const SettingsSource &Source);
+AgentSettings parseAgentSettings(const SettingsSource &Source);
+
 /// Reads the key log_level in the section [process].
 LogLevel readLogLevel(IniReader &Reader);
 
--- a/tests/integration/reload_test.cpp
+++ b/tests/integration/reload_test.cpp
@@ -1,5 +1,6 @@
 #include "integration/platformfixture.h"
 #include "platform/programs.h"
+#include "support/site.h"
 
 #include <csignal>
 
@@ -8,6 +9,7 @@
 namespace {
 
 constexpr int BasePort = 28400;
+constexpr int SitePort = 28600;
 
 /// Changes the settings files of running processes.
 class ReloadTest : public PlatformFixture {
@@ -107,3 +109,18 @@
   EXPECT_NE(Output.find("- route r max_attempts = 2\n"), std::string::npos);
   EXPECT_EQ(Check("2"), 2);
 }
+
+// Guards against a signal that ends an entry or agent that runs without the
+// platform.
+TEST(SiteReload, signalReloadsTheFile) {
+  Site Processes(SitePort, 1, 1);
+  Processes.entry(0).signal(SIGHUP);
+  Processes.agent(0).signal(SIGHUP);
+  for (const char *Name : {"entry-0", "agent-0"})
+    EXPECT_TRUE(Site::waitFor([&] {
+      return Processes.readLog(Name).find("event=settings.reloaded reload=1") !=
+             std::string::npos;
+    })) << Name;
+  EXPECT_TRUE(Site::waitFor([&] { return Processes.hasWorkers(0, 1); }));
+  EXPECT_EQ(Processes.submit(0, {}).m_Code, ResultCode::Ok);
+}
