--- a/packages/core/types/metric.h
+++ b/packages/core/types/metric.h
@@ -54,6 +54,8 @@
   ReservationsMade,
   ReservationsLapsed,
   BackfilledStarts,
+  SettingsReloaded,
+  SettingsRejected,
   Count
 };
 
--- a/packages/metrics/internal/metricsregistry.cpp
+++ b/packages/metrics/internal/metricsregistry.cpp
@@ -76,6 +76,8 @@
     {"reservations_lapsed",
      "Reservations that kept too much free and were given up."},
     {"backfilled_starts", "Runs started beside or before a reservation."},
+    {"settings_reloads", "Accepted reloads of the settings file."},
+    {"settings_rejected", "Reads of a settings file that is not valid."},
 }};
 
 constexpr std::size_t LatencyCount = static_cast<std::size_t>(Timing::Count);
