Bound what strangers at the message port can make a process hold

The message port read whatever arrived. nng's PULL socket bounds one message (16 MB) but not the sum of incomplete ones, nor the number of connections; the decoder made an object of 24 bytes for each byte of a forged array; and the control queue was bounded by messages, not bytes. Four tests of overload_test showed it.

A receiver of our own (Boost.Asio, one traffic thread) takes the place of the PULL socket and speaks the same protocol. ReceiveLedger, without I/O, decides whom to close or not to read, by connections, bytes of incomplete messages (separately for peers and strangers), waiting messages, silence and malformed messages. Links says who is a peer. A message has at most 131,072 elements, counted before any is allocated. Limits are in section [links] of the platform's settings; closed connections are counted and logged with code 6005. What was weighed and what is left: docs/design/hostile-links.md.

--- a/packages/core/types/metric.h
+++ b/packages/core/types/metric.h
@@ -34,6 +34,8 @@
   MessagesResent,
   MessagesDuplicate,
   MessagesMalformed,
+  LinkConnectionsClosed,
+  LinkReadsPaused,
   BytesSent,
   Reconnects,
   WorkersEjected,
--- a/packages/membership/internal/links.cpp
+++ b/packages/membership/internal/links.cpp
@@ -32,7 +32,7 @@
       // other numbers.
       m_NextNumber(static_cast<std::uint32_t>(m_Self.m_Incarnation.m_Value)) {
   m_Transport.onReceive(
-      [this](Envelope Incoming) { receive(std::move(Incoming)); });
+      [this](Envelope Incoming) { return receive(std::move(Incoming)); });
 }
 
 Links::~Links() {
@@ -151,19 +151,21 @@
            {{"gap_ms", toMilliseconds(Gap)}});
 }
 
-void Links::receive(Envelope Incoming) {
+bool Links::receive(Envelope Incoming) {
   recordActivity();
   bool IsForOtherIncarnation = Incoming.m_Receiver != Incarnation{} &&
                                Incoming.m_Receiver != m_Self.m_Incarnation;
   if (IsForOtherIncarnation)
-    return;
-  if (const auto *Body = std::get_if<Hello>(&Incoming.m_Message)) {
+    return false;
+  if (const auto *Body = std::get_if<Hello>(&Incoming.m_Message))
     receiveHello(Incoming, *Body);
-    return;
-  }
+  // A Hello that was accepted has a link now.
   LinkPointer Link = findLink(Incoming);
-  if (Link)
+  if (!Link)
+    return false;
+  if (!std::holds_alternative<Hello>(Incoming.m_Message))
     receiveOnLink(Link, Incoming);
+  return true;
 }
 
 void Links::receiveHello(const Envelope &Incoming, const Hello &Body) {
--- a/packages/membership/internal/links.h
+++ b/packages/membership/internal/links.h
@@ -34,7 +34,8 @@
   LinkChart bindChart(const IChartSource &Charts);
 
   void recordActivity();
-  void receive(Envelope Incoming);
+  /// Returns whether the message belongs to a link.
+  bool receive(Envelope Incoming);
   void receiveHello(const Envelope &Incoming, const Hello &Body);
   void acceptHello(const Envelope &Incoming, const Hello &Body);
   void completeHello(const Envelope &Incoming, const Hello &Body);
--- a/packages/metrics/internal/metricsregistry.cpp
+++ b/packages/metrics/internal/metricsregistry.cpp
@@ -45,6 +45,11 @@
     {"messages_resent", "Messages sent again."},
     {"messages_duplicate", "Messages received twice."},
     {"messages_malformed", "Messages that could not be decoded."},
+    {"link_connections_closed",
+     "Connections to the message port closed because of a limit."},
+    {"link_reads_paused",
+     "Times at which a connection to the message port was not read because "
+     "its messages waited."},
     {"bytes_sent", "Bytes of messages sent to other processes."},
     {"redials", "Connections dialled again."},
     {"workers_ejected", "Workers ejected because of failures."},
--- a/packages/protocol/internal/codec.cpp
+++ b/packages/protocol/internal/codec.cpp
@@ -15,6 +15,9 @@
 /// The protocol version, the eight fields of the envelope, the message type and
 /// the message.
 constexpr std::uint32_t EnvelopeElementCount = 11;
+/// Elements of all arrays of a message. The largest message of the system has
+/// nine for each result of a job of 10,000 tasks.
+constexpr std::uint64_t MaxMessageElements = 128 * 1024;
 /// Greater times in an envelope are forged; they would overflow a Duration.
 constexpr std::uint64_t MaxEnvelopeMilliseconds = 1ULL << 40;
 
@@ -190,6 +193,32 @@
   return Value;
 }
 
+/// Refuses a message with too many elements before they are allocated: each
+/// takes many times the byte that it may have been sent as.
+class ElementCounter : public msgpack::null_visitor {
+public:
+  bool start_array(std::uint32_t Count) { return add(Count); }
+  bool start_map(std::uint32_t Count) { return add(2 * std::uint64_t{Count}); }
+
+private:
+  bool add(std::uint64_t Count) {
+    m_Elements += Count;
+    if (m_Elements > MaxMessageElements)
+      failMalformed("more than " + std::to_string(MaxMessageElements) +
+                    " elements");
+    return true;
+  }
+
+  std::uint64_t m_Elements = 0;
+};
+
+void checkElements(std::string_view Bytes) {
+  ElementCounter Counter;
+  std::size_t Offset = 0;
+  // What else is wrong with the message is found when it is unpacked.
+  msgpack::parse(Bytes.data(), Bytes.size(), Offset, Counter);
+}
+
 } // namespace
 
 std::string encode(const Envelope &Value) {
@@ -221,6 +250,7 @@
   msgpack::unpack_limit Limits(Bytes.size(), 0, Bytes.size(), Bytes.size(), 0,
                                8);
   try {
+    checkElements(Bytes);
     auto Handle =
         msgpack::unpack(Bytes.data(), Bytes.size(), nullptr, nullptr, Limits);
     return unpackEnvelope(Handle.get());
--- a/packages/protocol/tests/codec_test.cpp
+++ b/packages/protocol/tests/codec_test.cpp
@@ -142,3 +142,21 @@
     decodeErrorCode(Changed);
   }));
 }
+
+// Guards against a message whose elements take many times its own size.
+TEST(Codec, refusesMessagesWithTooManyElements) {
+  constexpr std::size_t Count = 256 * 1024;
+  std::string Flat =
+      std::string("\xdd\0\x04\0\0", 5) + std::string(Count, '\x01');
+  EXPECT_EQ(decodeErrorCode(Flat), ResultCode::MalformedMessage);
+  std::string Nested = "\xdc";
+  Nested += std::string("\0\xc8", 2);
+  for (int I = 0; I < 200; ++I)
+    Nested += std::string("\xdc\x04\0", 3) + std::string(1024, '\x01');
+  EXPECT_EQ(decodeErrorCode(Nested), ResultCode::MalformedMessage);
+  RunResults Largest;
+  Largest.m_RunResults.resize(10'000);
+  Envelope Value;
+  Value.m_Message = Largest;
+  EXPECT_EQ(decodeErrorCode(encode(Value)), ResultCode::Ok);
+}
--- a/packages/transport/internal/nngsocket.cpp
+++ b/packages/transport/internal/nngsocket.cpp
@@ -2,7 +2,6 @@
 
 #include "core/error.h"
 
-#include <nng/protocol/pipeline0/pull.h>
 #include <nng/protocol/pipeline0/push.h>
 #include <utility>
 
@@ -12,7 +11,6 @@
 
 /// Messages that a channel buffers while its connection is slow.
 constexpr int SendBufferMessages = 4096;
-constexpr int ReceiveBufferMessages = 1024;
 constexpr nng_duration MinReconnectPeriod = 50;   // ms
 constexpr nng_duration MaxReconnectPeriod = 1000; // ms
 
@@ -26,17 +24,6 @@
 
 } // namespace
 
-NngSocket NngSocket::listenPull(const std::string &Address,
-                                std::size_t MaxMessageBytes) {
-  NngSocket Created;
-  check(nng_pull0_open(&Created.m_Socket), "open pull socket");
-  nng_socket_set_size(Created.m_Socket, NNG_OPT_RECVMAXSZ, MaxMessageBytes);
-  nng_socket_set_int(Created.m_Socket, NNG_OPT_RECVBUF, ReceiveBufferMessages);
-  check(nng_listen(Created.m_Socket, makeUrl(Address).c_str(), nullptr, 0),
-        "listen on " + Address);
-  return Created;
-}
-
 NngSocket NngSocket::dialPush(const std::string &Address) {
   NngSocket Created;
   check(nng_push0_open(&Created.m_Socket), "open push socket");
@@ -60,16 +47,6 @@
 
 NngSocket::~NngSocket() { close(); }
 
-bool NngSocket::receive(std::string &Bytes) {
-  nng_msg *Message = nullptr;
-  if (nng_recvmsg(m_Socket, &Message, 0) != 0)
-    return false;
-  Bytes.assign(static_cast<const char *>(nng_msg_body(Message)),
-               nng_msg_len(Message));
-  nng_msg_free(Message);
-  return true;
-}
-
 bool NngSocket::trySend(const std::string &Bytes) {
   // Without NNG_FLAG_ALLOC nng only reads the buffer.
   return nng_send(m_Socket, const_cast<char *>(Bytes.data()), Bytes.size(),
--- a/packages/transport/internal/nngtransport.h
+++ b/packages/transport/internal/nngtransport.h
@@ -1,15 +1,14 @@
 #ifndef CYCLAMENWALK_TRANSPORT_INTERNAL_NNGTRANSPORT_H
 #define CYCLAMENWALK_TRANSPORT_INTERNAL_NNGTRANSPORT_H
 
+#include "transport/internal/messagereceiver.h"
 #include "transport/internal/sender.h"
 #include "transport/transportmodule.h"
 
-#include <thread>
-
 namespace cyclamenwalk {
 
-/// The transport over nng. A sender encodes on its own thread; another thread
-/// receives and decodes.
+/// The transport over nng. A sender encodes on its own thread; a receiver
+/// decodes on another.
 class NngTransport final : public ITransport {
 public:
   NngTransport(const TransportSettings &Settings, IControlQueue &Control,
@@ -25,17 +24,10 @@
   void stop();
 
 private:
-  void receiveMessages();
-  void decodeAndPost(const std::string &Bytes);
-
-  const TransportSettings m_Settings;
-  IControlQueue &m_Control;
-  IMetrics &m_Metrics;
   Receiver m_Receiver;
   ChannelId m_LastChannel = 0;
   Sender m_Sender;
-  NngSocket m_Listener;
-  std::thread m_ReceiveThread;
+  MessageReceiver m_MessageReceiver;
 };
 
 } // namespace cyclamenwalk
--- a/packages/transport/itransport.h
+++ b/packages/transport/itransport.h
@@ -16,8 +16,9 @@
 /// control thread, which it never blocks: a traffic thread encodes and sends.
 class ITransport {
 public:
-  /// Called on the control thread for each envelope that arrives.
-  using Receiver = std::function<void(Envelope)>;
+  /// Called on the control thread for each envelope that arrives. Returns
+  /// whether it belongs to a link, which shows that its sender is a peer.
+  using Receiver = std::function<bool(Envelope)>;
 
   virtual ~ITransport() = default;
 
--- a/packages/transport/tests/transport_test.cpp
+++ b/packages/transport/tests/transport_test.cpp
@@ -23,6 +23,7 @@
     Received.push_back(Value.m_Sequence);
     if (Value.m_Sequence == 2)
       Loop.stop();
+    return true;
   });
   NngSocket RawSocket = NngSocket::dialPush(ListenAddress);
   RawSocket.trySend("garbage");
--- a/packages/transport/transportmodule.h
+++ b/packages/transport/transportmodule.h
@@ -4,6 +4,7 @@
 #include "core/icontrolqueue.h"
 #include "core/imetrics.h"
 #include "transport/itransport.h"
+#include "transport/types/receivelimits.h"
 
 #include <cstddef>
 #include <memory>
@@ -16,10 +17,12 @@
   std::string m_Listen;
   /// Largest encoded message that is received or sent, in bytes.
   std::size_t m_MessageLimit = 16 * 1024 * 1024;
+  ReceiveLimits m_ReceiveLimits{};
 };
 
-/// Message transport over nng. Each process listens on one PULL socket and has
-/// one PUSH socket per channel; one thread sends and one receives.
+/// Message transport over nng's protocol. Each process has one PUSH socket per
+/// channel, and takes the place of a PULL socket itself, so that it decides
+/// what it reads; one thread sends and one receives.
 class TransportModule {
 public:
   /// Throws Error with ListenFailed when it cannot listen on the address.
