--- a/tests/support/crowd.cpp
+++ b/tests/support/crowd.cpp
@@ -38,7 +38,7 @@
     : m_Script(std::move(Script)) {
   for (std::size_t I = 0; I < Count; ++I)
     m_Members.push_back({connectLoopback(Port), m_Script.m_Prefix,
-                         m_Script.m_PieceCount, true, Clock::now()});
+                         m_Script.m_PieceCount, true, false, Clock::now()});
 }
 
 Crowd::~Crowd() {
@@ -83,6 +83,12 @@
       [](const Member &Current) { return Current.m_Socket >= 0; });
 }
 
+std::size_t Crowd::answeredCount() const {
+  return std::count_if(
+      m_Members.begin(), m_Members.end(),
+      [](const Member &Current) { return Current.m_IsAnswered; });
+}
+
 void Crowd::refill(Member &Sender) const {
   TimePoint Now = Clock::now();
   while (Sender.m_PiecesLeft > 0 && Sender.m_Unsent.size() < MaxUnsentBytes &&
@@ -110,6 +116,7 @@
 void Crowd::receive(Member &Sender) {
   std::array<char, ReceiveBufferBytes> Buffer{};
   ssize_t Received = recv(Sender.m_Socket, Buffer.data(), Buffer.size(), 0);
+  Sender.m_IsAnswered |= Received > 0;
   if (Received == 0 || (Received < 0 && !wouldBlock()))
     disconnect(Sender);
 }
--- a/tests/support/crowd.h
+++ b/tests/support/crowd.h
@@ -42,12 +42,16 @@
   /// Connections that the peer has not closed.
   std::size_t openCount() const;
 
+  /// Connections on which something has arrived.
+  std::size_t answeredCount() const;
+
 private:
   struct Member {
     int m_Socket = -1;
     std::string m_Unsent;
     std::size_t m_PiecesLeft = 0;
     bool m_HasSuffix = true;
+    bool m_IsAnswered = false;
     TimePoint m_NextPieceAt;
   };
 
