--- a/packages/core/types/metric.h
+++ b/packages/core/types/metric.h
@@ -36,6 +36,8 @@
   MessagesResent,
   MessagesDuplicate,
   MessagesMalformed,
+  LinkConnectionsClosed,
+  LinkReadsPaused,
   BytesSent,
   Reconnects,
   WorkersEjected,
