--- a/scripts/checkshape.py
+++ b/scripts/checkshape.py
@@ -7,7 +7,7 @@
 
 DECISION_PACKAGES = ["core", "statechart", "message", "policy", "job",
                      "request", "slot", "membership", "configuration", "batch",
-                     "worker", "store", "forward"]
+                     "worker", "store", "forward", "budget"]
 FORBIDDEN_HEADERS = re.compile(
     r'#include [<"](msgpack|nng/|ulfius|nlohmann|ini\.h|pugixml|http/|'
     r'protocol/|settings/|json/|curl)')
