HTTP servers keep their clients within memory, connections and time

Servers on ulfius had a thread for each connection, collected whole bodies before any code of ours ran and read none of the configured limits, so that clients could exhaust a process. HttpServer is now based on libmicrohttpd with one polling thread for a listener: bodies are charged to a budget as they arrive, slow or idle connections are closed, and what doesn't fit is refused (413, 431, 408, 503) before a handler runs. Limits come from [limits] in the settings and from the object limits of the configuration.

--- a/packages/agent/internal/agentprogram.cpp
+++ b/packages/agent/internal/agentprogram.cpp
@@ -45,6 +45,9 @@
   return Response;
 }
 
+/// Requests that wait for an answer hold one each.
+constexpr std::size_t MaxHandlerThreads = 256;
+
 } // namespace
 
 class AgentProgram::Impl {
@@ -73,7 +76,7 @@
             {[this] { lookUpEntries(); }, nullptr, selectAllEntries}, *m_Links,
             m_Loop)),
         m_Lifecycle(lifecycleHooks(), m_Process.m_DrainLimit, m_Charts, m_Loop),
-        m_Http({m_Process.m_HttpListen, m_Process.m_BodyLimit}) {
+        m_Http(httpListener()) {
     setLinkHooks();
     addHttpRoutes();
   }
@@ -89,6 +92,17 @@
   }
 
 private:
+  HttpServerSettings httpListener() {
+    const LimitSettings &Limits = m_Process.m_Limits;
+    BudgetPlan Plan = planBudget(
+        {Limits.m_MemoryBytes, Limits.m_Descriptors, Limits.m_MaxConnections,
+         connectionBytes(Limits.m_Requests.m_MaxHeaderBytes)});
+    HttpServerSettings Listener = makeListener(
+        m_Process.m_HttpListen, Limits.m_Requests, Plan.m_Clients, m_Metrics);
+    Listener.m_MaxHandlerThreads = MaxHandlerThreads;
+    return Listener;
+  }
+
   ProcessIdentity makeIdentity() const {
     return {m_Process.m_Name, generateIncarnation(),
             m_Process.m_MessageListenAddress, m_Process.m_FailureDomain,
--- a/packages/budget/connectiontable.h
+++ b/packages/budget/connectiontable.h
@@ -23,8 +23,10 @@
   Waiting,
   /// The body of a request is arriving.
   Receiving,
-  /// A handler runs, or its response is being written. No time limit applies.
+  /// A handler runs. No time limit applies.
   Answering,
+  /// A response is being written.
+  Writing,
   /// It was refused, and what still arrives is discarded.
   Closing,
   Count
@@ -37,11 +39,19 @@
   /// Minimum of the mean rate at which a body arrives. A body has the header
   /// timeout in addition.
   std::uint64_t m_BodyBytesPerSecond = 0;
+  /// Time for a client to read its response.
+  Duration m_WriteTimeout{};
   /// Time for a refused client to read the refusal.
   Duration m_LingerTime = milliseconds(500);
 };
 
-enum class CloseReason { HeaderTooSlow, BodyTooSlow, Idle, LingerEnded };
+enum class CloseReason {
+  HeaderTooSlow,
+  BodyTooSlow,
+  ReaderTooSlow,
+  Idle,
+  LingerEnded
+};
 
 struct ConnectionToClose {
   ConnectionNumber m_Number = 0;
@@ -77,11 +87,17 @@
   /// newcomers are refused instead.
   std::optional<ConnectionNumber> chooseVictim(TimePoint Now) const;
 
+  /// The connections from which nothing is expected to have arrived recently.
+  std::vector<ConnectionNumber> listQuiet(TimePoint Now) const;
+
   /// Whether takeOverdue() is to be called every CheckPeriod.
   bool needsChecks() const {
     return size() > count(ConnectionPhase::Answering);
   }
 
+  /// Nothing for a connection that is not in the table.
+  std::optional<ConnectionPhase> phaseOf(ConnectionNumber Number) const;
+
   std::size_t size() const { return m_Connections.size(); }
   std::size_t count(ConnectionPhase Phase) const;
 
--- a/packages/budget/internal/connectiontable.cpp
+++ b/packages/budget/internal/connectiontable.cpp
@@ -11,6 +11,7 @@
 constexpr Duration MinVictimWait = milliseconds(100);
 /// The parts of a body arrive more frequently, unless its sender has stopped.
 constexpr Duration MinVictimStall = milliseconds(250);
+constexpr Duration MinQuietTime = seconds(1);
 constexpr Duration BodyCheckPeriod = seconds(1);
 constexpr Duration DefaultCheckPeriod = seconds(3);
 
@@ -118,6 +119,11 @@
     return checkWaiting(Current, Now, HasHeaderBegun);
   case ConnectionPhase::Receiving:
     return checkReceiving(Current, Now);
+  case ConnectionPhase::Writing:
+    if (m_Limits.m_WriteTimeout > Duration::zero() &&
+        Now - Current.m_PhaseStart >= m_Limits.m_WriteTimeout)
+      return CloseReason::ReaderTooSlow;
+    return std::nullopt;
   case ConnectionPhase::Closing:
     return CloseReason::LingerEnded;
   default:
@@ -130,7 +136,7 @@
   std::vector<ConnectionToClose> Overdue;
   for (ConnectionPhase Phase :
        {ConnectionPhase::Waiting, ConnectionPhase::Receiving,
-        ConnectionPhase::Closing})
+        ConnectionPhase::Writing, ConnectionPhase::Closing})
     for (Connection &Current : listOf(Phase)) {
       if (Current.m_NextCheck > Now)
         continue;
@@ -142,6 +148,29 @@
   return Overdue;
 }
 
+std::vector<ConnectionNumber> ConnectionTable::listQuiet(TimePoint Now) const {
+  std::vector<ConnectionNumber> Quiet;
+  for (const Connection &Current : listOf(ConnectionPhase::Waiting)) {
+    if (Now - Current.m_PhaseStart < MinQuietTime)
+      break;
+    Quiet.push_back(Current.m_Number);
+  }
+  for (const Connection &Current : listOf(ConnectionPhase::Receiving)) {
+    if (Now - Current.m_LastBytes < MinQuietTime)
+      break;
+    Quiet.push_back(Current.m_Number);
+  }
+  return Quiet;
+}
+
+std::optional<ConnectionPhase>
+ConnectionTable::phaseOf(ConnectionNumber Number) const {
+  auto It = m_Connections.find(Number);
+  if (It == m_Connections.end())
+    return std::nullopt;
+  return It->second->m_Phase;
+}
+
 std::optional<ConnectionNumber>
 ConnectionTable::chooseVictim(TimePoint Now) const {
   const List &Waiting = listOf(ConnectionPhase::Waiting);
--- a/packages/budget/internal/memorybudget.cpp
+++ b/packages/budget/internal/memorybudget.cpp
@@ -4,12 +4,13 @@
 
 namespace {
 
-/// Eighths of the limit up to which each class may fill the budget, in the
-/// order of the values of ChargeClass.
+/// Sixteenths of the limit up to which each class may fill the budget, in the
+/// order of the values of ChargeClass. Clients of small requests need a
+/// connection first, so connections are admitted beside large requests.
 constexpr std::array<std::uint64_t,
                      static_cast<std::size_t>(ChargeClass::Count)>
-    LimitEighths{4, 6, 5, 7, 5, 8};
-constexpr std::uint64_t Eighths = 8;
+    LimitParts{10, 12, 8, 14, 8, 16};
+constexpr std::uint64_t Parts = 16;
 
 constexpr std::size_t indexOf(ChargeClass Class) {
   return static_cast<std::size_t>(Class);
@@ -40,7 +41,7 @@
 MemoryBudget::MemoryBudget(std::uint64_t LimitBytes) : m_Limit(LimitBytes) {}
 
 std::uint64_t MemoryBudget::limitOf(ChargeClass Class) const {
-  return m_Limit / Eighths * LimitEighths.at(indexOf(Class));
+  return m_Limit / Parts * LimitParts.at(indexOf(Class));
 }
 
 std::uint64_t MemoryBudget::usedBy(ChargeClass Class) const {
--- a/packages/budget/memorybudget.h
+++ b/packages/budget/memorybudget.h
@@ -14,9 +14,9 @@
 /// Counts the memory that the requests of a listener use, by class, and refuses
 /// what exceeds the limit. Each class has an upper limit for the sum of all
 /// classes, so that the less important ones can't use up the memory for the
-/// others: connections are accepted up to 1/2 of the limit, large bodies and
-/// their requests up to 5/8, small bodies up to 3/4, their requests up to 7/8,
-/// and answers use all of it. Thread-safe.
+/// others: large bodies and their requests are accepted up to 8/16 of the
+/// limit, connections up to 10/16, small bodies up to 12/16, their requests up
+/// to 14/16, and answers use all of it. Thread-safe.
 class MemoryBudget {
 public:
   explicit MemoryBudget(std::uint64_t LimitBytes);
--- a/packages/configuration/types/desiredstate.h
+++ b/packages/configuration/types/desiredstate.h
@@ -1,6 +1,7 @@
 #ifndef CYCLAMENWALK_CONFIGURATION_TYPES_DESIREDSTATE_H
 #define CYCLAMENWALK_CONFIGURATION_TYPES_DESIREDSTATE_H
 
+#include "core/types/requestlimits.h"
 #include "core/types/time.h"
 
 #include <cstdint>
@@ -69,6 +70,7 @@
   std::vector<RouteConfig> m_Routes;
   std::map<std::string, ServiceConfig> m_Services;
   std::map<std::string, TeamConfig> m_Teams;
+  ConfiguredLimits m_Limits;
   bool operator==(const DesiredState &) const = default;
 };
 
--- a/packages/core/types/metric.h
+++ b/packages/core/types/metric.h
@@ -43,6 +43,14 @@
   OrdersUnanswered,
   OrdersNotSent,
   OrderRepeatsPrevented,
+  HeadersTooLarge,
+  BodiesTooLarge,
+  RequestsTooSlow,
+  RequestsShed,
+  ConnectionsRefused,
+  ConnectionsShed,
+  ConnectionsIdle,
+  AnswersDropped,
   Count
 };
 
--- a/packages/entry/internal/entryprogram.cpp
+++ b/packages/entry/internal/entryprogram.cpp
@@ -35,6 +35,9 @@
   return readDesiredState(Text, "configuration");
 }
 
+/// Requests that wait for an answer hold one each.
+constexpr std::size_t MaxHandlerThreads = 256;
+
 } // namespace
 
 class EntryProgram::Impl {
@@ -71,7 +74,7 @@
                   *m_Apply,    *m_Store,
                   m_Lifecycle, m_Metrics},
         m_CallerApi(m_Context), m_OperatorApi(m_Context),
-        m_Http({m_Process.m_HttpListen, m_Process.m_BodyLimit}) {
+        m_Http(httpListener()) {
     setLinkHooks();
     addHttpRoutes();
   }
@@ -87,6 +90,17 @@
   }
 
 private:
+  HttpServerSettings httpListener() {
+    const LimitSettings &Limits = m_Process.m_Limits;
+    BudgetPlan Plan = planBudget(
+        {Limits.m_MemoryBytes, Limits.m_Descriptors, Limits.m_MaxConnections,
+         connectionBytes(Limits.m_Requests.m_MaxHeaderBytes)});
+    HttpServerSettings Listener = makeListener(
+        m_Process.m_HttpListen, Limits.m_Requests, Plan.m_Clients, m_Metrics);
+    Listener.m_MaxHandlerThreads = MaxHandlerThreads;
+    return Listener;
+  }
+
   EntryAddress makeEntryAddress() const {
     return {m_Process.m_Name, generateIncarnation(),
             m_Process.m_MessageListenAddress, m_Process.m_HttpListen,
--- a/packages/http/internal/disconnectwatch.cpp
+++ b/packages/http/internal/disconnectwatch.cpp
@@ -2,110 +2,92 @@
 
 #include "core/error.h"
 
+#include <array>
 #include <poll.h>
-#include <sys/eventfd.h>
+#include <sys/epoll.h>
 #include <unistd.h>
-#include <vector>
+#include <utility>
 
 namespace cyclamenwalk {
 
-DisconnectWatch::DisconnectWatch() : m_WakeEvent(eventfd(0, EFD_NONBLOCK)) {
-  if (m_WakeEvent < 0)
-    throw Error(ResultCode::Internal, "cannot create an eventfd");
-  m_Thread = std::thread([this] { run(); });
+DisconnectWatch::DisconnectWatch() : m_Epoll(epoll_create1(EPOLL_CLOEXEC)) {
+  if (m_Epoll < 0)
+    throw Error(ResultCode::Internal, "cannot create an epoll instance");
 }
 
-DisconnectWatch::~DisconnectWatch() {
-  {
-    std::lock_guard<std::mutex> Lock(m_Mutex);
-    m_Stopped = true;
-  }
-  wakeUp();
-  m_Thread.join();
-  close(m_WakeEvent);
-}
-
-void DisconnectWatch::wakeUp() {
-  // Fails only on a full counter, which wakes the thread as well.
-  [[maybe_unused]] auto Written = eventfd_write(m_WakeEvent, 1);
-}
+DisconnectWatch::~DisconnectWatch() { close(m_Epoll); }
 
-void DisconnectWatch::addConnection(const std::string &ConnectionId,
-                                    int Socket) {
+void DisconnectWatch::addConnection(std::uint64_t Connection, int Socket) {
   std::lock_guard<std::mutex> Lock(m_Mutex);
-  m_Sockets[ConnectionId] = Socket;
+  m_Connections[Connection] = {Socket, nullptr};
 }
 
-void DisconnectWatch::removeConnection(const std::string &ConnectionId) {
+void DisconnectWatch::removeConnection(std::uint64_t Connection) {
+  unwatch(Connection);
   std::lock_guard<std::mutex> Lock(m_Mutex);
-  auto It = m_Sockets.find(ConnectionId);
-  if (It == m_Sockets.end())
-    return;
-  m_Handlers.erase(It->second);
-  m_Sockets.erase(It);
+  m_Connections.erase(Connection);
 }
 
-void DisconnectWatch::watch(const std::string &ConnectionId,
+void DisconnectWatch::watch(std::uint64_t Connection,
                             DisconnectHandler HandleDisconnect) {
-  {
-    std::lock_guard<std::mutex> Lock(m_Mutex);
-    auto It = m_Sockets.find(ConnectionId);
-    if (It == m_Sockets.end())
-      return;
-    m_Handlers[It->second] = std::move(HandleDisconnect);
-  }
-  wakeUp();
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  auto It = m_Connections.find(Connection);
+  if (It == m_Connections.end())
+    return;
+  bool IsRegistered = It->second.m_HandleDisconnect != nullptr;
+  It->second.m_HandleDisconnect = std::move(HandleDisconnect);
+  epoll_event Event{};
+  Event.events = EPOLLRDHUP | EPOLLONESHOT;
+  Event.data.u64 = Connection;
+  epoll_ctl(m_Epoll, IsRegistered ? EPOLL_CTL_MOD : EPOLL_CTL_ADD,
+            It->second.m_Socket, &Event);
 }
 
-void DisconnectWatch::unwatch(const std::string &ConnectionId) {
+void DisconnectWatch::unwatch(std::uint64_t Connection) {
   std::lock_guard<std::mutex> Lock(m_Mutex);
-  auto It = m_Sockets.find(ConnectionId);
-  if (It != m_Sockets.end())
-    m_Handlers.erase(It->second);
+  auto It = m_Connections.find(Connection);
+  if (It == m_Connections.end() || !It->second.m_HandleDisconnect)
+    return;
+  It->second.m_HandleDisconnect = nullptr;
+  epoll_ctl(m_Epoll, EPOLL_CTL_DEL, It->second.m_Socket, nullptr);
 }
 
-bool DisconnectWatch::hasDisconnected(const std::string &ConnectionId) {
+bool DisconnectWatch::hasDisconnected(std::uint64_t Connection) {
   std::lock_guard<std::mutex> Lock(m_Mutex);
-  auto It = m_Sockets.find(ConnectionId);
-  if (It == m_Sockets.end())
+  auto It = m_Connections.find(Connection);
+  if (It == m_Connections.end())
     return true;
-  pollfd Descriptor{It->second, POLLRDHUP, 0};
+  pollfd Descriptor{It->second.m_Socket, POLLRDHUP, 0};
   return poll(&Descriptor, 1, 0) > 0;
 }
 
-void DisconnectWatch::callHandler(int Socket) {
-  DisconnectHandler HandleDisconnect;
-  {
-    std::lock_guard<std::mutex> Lock(m_Mutex);
-    auto It = m_Handlers.find(Socket);
-    if (It == m_Handlers.end())
-      return;
-    HandleDisconnect = std::move(It->second);
-    m_Handlers.erase(It);
-  }
-  HandleDisconnect();
+DisconnectWatch::DisconnectHandler
+DisconnectWatch::takeHandler(std::uint64_t Connection) {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  auto It = m_Connections.find(Connection);
+  if (It == m_Connections.end() || !It->second.m_HandleDisconnect)
+    return nullptr;
+  epoll_ctl(m_Epoll, EPOLL_CTL_DEL, It->second.m_Socket, nullptr);
+  return std::exchange(It->second.m_HandleDisconnect, nullptr);
 }
 
-void DisconnectWatch::run() {
-  std::vector<pollfd> Descriptors;
-  for (;;) {
-    Descriptors.assign(1, {m_WakeEvent, POLLIN, 0});
-    {
-      std::lock_guard<std::mutex> Lock(m_Mutex);
-      if (m_Stopped)
-        return;
-      for (const auto &Handler : m_Handlers)
-        Descriptors.push_back({Handler.first, POLLRDHUP, 0});
-    }
-    if (poll(Descriptors.data(), Descriptors.size(), -1) <= 0)
-      continue;
-    eventfd_t Count = 0;
-    // Reads nothing if a socket woke the thread.
-    [[maybe_unused]] auto Read = eventfd_read(m_WakeEvent, &Count);
-    for (std::size_t I = 1; I < Descriptors.size(); ++I)
-      if (Descriptors[I].revents != 0)
-        callHandler(Descriptors[I].fd);
+void DisconnectWatch::dispatch() {
+  retryHandlers();
+  constexpr int MaxEvents = 32;
+  std::array<epoll_event, MaxEvents> Events{};
+  int Count = epoll_wait(m_Epoll, Events.data(), MaxEvents, 0);
+  for (int I = 0; I < Count; ++I) {
+    auto HandleDisconnect =
+        takeHandler(Events.at(static_cast<std::size_t>(I)).data.u64);
+    if (HandleDisconnect && !HandleDisconnect())
+      m_Undelivered.push_back(std::move(HandleDisconnect));
   }
 }
 
+void DisconnectWatch::retryHandlers() {
+  std::erase_if(m_Undelivered, [](const DisconnectHandler &HandleDisconnect) {
+    return HandleDisconnect();
+  });
+}
+
 } // namespace cyclamenwalk
--- a/packages/metrics/internal/metricsregistry.cpp
+++ b/packages/metrics/internal/metricsregistry.cpp
@@ -57,6 +57,16 @@
     {"orders_not_sent", "Orders that were never written to a connection."},
     {"order_repeats_prevented",
      "Orders whose connection broke and that were not sent a second time."},
+    {"headers_too_large", "Requests refused because of their header's size."},
+    {"bodies_too_large", "Requests refused because of their body's size."},
+    {"requests_too_slow",
+     "Requests refused because their header, body or the reading of their "
+     "response took too long."},
+    {"requests_shed", "Requests refused because memory was used up."},
+    {"connections_refused", "Connections refused because of their number."},
+    {"connections_shed", "Connections closed to make room for others."},
+    {"connections_idle", "Connections closed after the idle timeout."},
+    {"answers_dropped", "Answers replaced because memory was used up."},
 }};
 
 constexpr std::size_t LatencyCount = static_cast<std::size_t>(Timing::Count);
--- /dev/null
+++ b/packages/settings/internal/limitsettings.cpp
@@ -0,0 +1,75 @@
+#include "settings/limitsettings.h"
+
+namespace cyclamenwalk {
+
+namespace {
+
+constexpr const char *Section = "limits";
+constexpr std::uint64_t MegaByte = 1024 * 1024;
+constexpr std::uint32_t MinMemoryMegaBytes = 64;
+constexpr std::uint32_t MaxMemoryMegaBytes = 1024 * 1024;
+/// Files, links and the listeners of operators need more than half of these.
+constexpr std::uint32_t MinDescriptors = 640;
+constexpr std::uint32_t MaxDescriptors = 1000000;
+constexpr std::uint32_t MinConnections = 8;
+constexpr std::uint64_t MinHeaderBytes = 1024;
+constexpr std::uint64_t MaxHeaderBytes = MegaByte;
+/// A body has to fit into the memory for requests while its buffer grows and
+/// after it was decoded.
+constexpr std::uint64_t MaxBodyPartOfMemory = 16;
+constexpr std::uint32_t MaxBodyRate = 1024 * 1024;
+constexpr Duration MinHeaderTimeout = milliseconds(100);
+
+void checkRange(IniReader &Reader, const char *Key, std::uint64_t Value,
+                std::uint64_t Min, std::uint64_t Max) {
+  if (Value < Min || Value > Max)
+    Reader.addProblem(Section, Key, ResultCode::BadSize,
+                      std::to_string(Value) + " bytes: " + std::to_string(Min) +
+                          " to " + std::to_string(Max) + " expected");
+}
+
+void readRequestLimits(IniReader &Reader, std::uint64_t MemoryBytes,
+                       RequestLimits &Limits) {
+  Limits.m_MaxHeaderBytes =
+      Reader.size(Section, "header_bytes", Limits.m_MaxHeaderBytes);
+  checkRange(Reader, "header_bytes", Limits.m_MaxHeaderBytes, MinHeaderBytes,
+             MaxHeaderBytes);
+  Limits.m_MaxBodyBytes =
+      Reader.size(Section, "body_bytes", Limits.m_MaxBodyBytes);
+  checkRange(Reader, "body_bytes", Limits.m_MaxBodyBytes, 1,
+             MemoryBytes / MaxBodyPartOfMemory);
+  Limits.m_HeaderTimeout =
+      Reader.duration(Section, "header_timeout", Limits.m_HeaderTimeout);
+  Limits.m_IdleTimeout =
+      Reader.duration(Section, "idle_timeout", Limits.m_IdleTimeout);
+  if (Limits.m_HeaderTimeout < MinHeaderTimeout)
+    Reader.addProblem(Section, "header_timeout", ResultCode::BadDuration,
+                      "at least 100ms expected");
+  if (Limits.m_IdleTimeout < Limits.m_HeaderTimeout)
+    Reader.addProblem(Section, "idle_timeout", ResultCode::BadDuration,
+                      "at least header_timeout expected");
+  Limits.m_BodyBytesPerSecond = Reader.number(
+      Section, "body_rate",
+      static_cast<std::uint32_t>(Limits.m_BodyBytesPerSecond), 0, MaxBodyRate);
+}
+
+} // namespace
+
+LimitSettings readLimitSettings(IniReader &Reader) {
+  LimitSettings Settings;
+  Settings.m_MemoryBytes =
+      MegaByte * Reader.number(Section, "memory_mb",
+                               static_cast<std::uint32_t>(
+                                   Settings.m_MemoryBytes / MegaByte),
+                               MinMemoryMegaBytes, MaxMemoryMegaBytes);
+  Settings.m_Descriptors =
+      Reader.number(Section, "descriptors", Settings.m_Descriptors,
+                    MinDescriptors, MaxDescriptors);
+  Settings.m_MaxConnections =
+      Reader.number(Section, "max_connections", Settings.m_MaxConnections,
+                    MinConnections, MaxDescriptors);
+  readRequestLimits(Reader, Settings.m_MemoryBytes, Settings.m_Requests);
+  return Settings;
+}
+
+} // namespace cyclamenwalk
--- a/packages/settings/internal/processsettings.cpp
+++ b/packages/settings/internal/processsettings.cpp
@@ -35,6 +35,8 @@
   Settings.m_PlatformAddress = Reader.address("platform", "address", false);
   Settings.m_PlatformTimeout =
       Reader.duration("platform", "timeout", Settings.m_PlatformTimeout);
+  Settings.m_Limits = readLimitSettings(Reader);
+  Settings.m_Limits.m_Requests.m_MaxBodyBytes = Settings.m_BodyLimit;
   Settings.m_DrainLimit =
       Reader.duration("drain", "limit", Settings.m_DrainLimit);
   return Settings;
--- a/packages/settings/processsettings.h
+++ b/packages/settings/processsettings.h
@@ -3,6 +3,7 @@
 
 #include "core/log.h"
 #include "core/types/time.h"
+#include "settings/limitsettings.h"
 
 #include <cstdint>
 #include <string>
@@ -26,6 +27,7 @@
   /// IP:PORT of the platform's service; empty to run without it.
   std::string m_PlatformAddress;
   Duration m_PlatformTimeout = seconds(2);
+  LimitSettings m_Limits;
   /// How long a drain waits for work in progress.
   Duration m_DrainLimit = seconds(60);
 };
--- a/packages/settings/tests/settings_test.cpp
+++ b/packages/settings/tests/settings_test.cpp
@@ -1,5 +1,6 @@
 #include "settings/desiredstatereader.h"
 #include "settings/inireader.h"
+#include "settings/limitsettings.h"
 #include "settings/processsettings.h"
 
 #include <cstdio>
@@ -124,6 +125,26 @@
   }
 }
 
+/// Guards against limits that contradict each other, or that no process can
+/// keep.
+TEST(LimitSettings, readsLimitsAndReportsImpossibleOnes) {
+  IniReader Reader(parseIni("[limits]\nmemory_mb = 128\nbody_bytes = 256KB\n"
+                            "header_timeout = 3s\nidle_timeout = 15s\n",
+                            "test.ini"));
+  LimitSettings Settings = readLimitSettings(Reader);
+  Reader.finish();
+  EXPECT_EQ(Settings.m_MemoryBytes, 128U * 1024 * 1024);
+  EXPECT_EQ(Settings.m_Requests.m_IdleTimeout, seconds(15));
+  for (const char *Line :
+       {"memory_mb = 1", "body_bytes = 100MB", "header_bytes = 1B",
+        "idle_timeout = 1s", "header_timeout = 1ms", "descriptors = 100",
+        "max_connections = 1", "body_rate = many"}) {
+    IniReader Bad(parseIni("[limits]\n" + std::string(Line), "test.ini"));
+    readLimitSettings(Bad);
+    EXPECT_THROW(Bad.finish(), SettingsError) << Line;
+  }
+}
+
 TEST(IniReader, validatesAddressesAndNames) {
   EXPECT_TRUE(isAddress("127.0.0.1:80"));
   EXPECT_FALSE(isAddress("127.0.0.1"));
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 
 PACKAGES=(g++ cmake make clang-format clang-tidy pkg-config spin python3
-  libulfius-dev libprometheus-cpp-core1.0 libnng-dev libspdlog-dev
+  libulfius-dev libmicrohttpd-dev libprometheus-cpp-core1.0 libnng-dev libspdlog-dev
   libboost-program-options-dev librapidcheck-dev libgtest-dev libgmock-dev
   libbenchmark-dev libpugixml-dev libinih-dev libmsgpack-cxx-dev
   nlohmann-json3-dev libxxhash-dev curl)
