Read sizes of limits as numbers of bytes; stop with requests arriving

header_bytes and body_bytes name their unit, so they are plain numbers. A request that arrived while a server stopped was suspended, which libmicrohttpd answers by ending the process (seen once in overload_test); requests are no longer handled then.

--- a/packages/http/internal/httpdaemonrequests.cpp
+++ b/packages/http/internal/httpdaemonrequests.cpp
@@ -215,6 +215,9 @@
 }
 
 MHD_Result HttpDaemon::callHandler(Exchange &Current) {
+  // A connection may not be suspended while the library is stopped.
+  if (m_IsStopping)
+    return MHD_NO;
   const RouteHandler &Route = *Current.m_Route;
   m_Exchanges[Current.m_Number] = &Current;
   {
--- a/packages/http/tests/httplimits_test.cpp
+++ b/packages/http/tests/httplimits_test.cpp
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <gtest/gtest.h>
+#include <list>
 #include <rapidcheck.h>
 #include <sys/socket.h>
 #include <thread>
@@ -212,3 +213,28 @@
   for (std::thread &Current : Threads)
     Current.join();
 }
+
+/// Guards against a stop that ends the process because new requests keep
+/// arriving.
+TEST(HttpAsync, stopsWhileRequestsArrive) {
+  for (int Round = 0; Round < 20; ++Round) {
+    HttpServer Server(makeSettings());
+    std::vector<HttpServer::Respond> Pending;
+    Server.routeAsync("POST", "/job",
+                      [&Pending](HttpRequest &&, HttpServer::Respond Respond) {
+                        Pending.push_back(std::move(Respond));
+                      });
+    Server.start();
+    std::atomic<bool> IsDone = false;
+    std::thread Sender([&IsDone] {
+      std::list<RawCaller> Callers;
+      while (!IsDone && Callers.size() < 19) {
+        Callers.emplace_back(Port);
+        Callers.back().send(makePost(1));
+      }
+    });
+    Server.stop(milliseconds(Round % 4));
+    IsDone = true;
+    Sender.join();
+  }
+}
--- a/packages/settings/internal/limitsettings.cpp
+++ b/packages/settings/internal/limitsettings.cpp
@@ -1,5 +1,8 @@
 #include "settings/limitsettings.h"
 
+#include <algorithm>
+#include <limits>
+
 namespace cyclamenwalk {
 
 namespace {
@@ -20,24 +23,21 @@
 constexpr std::uint32_t MaxBodyRate = 1024 * 1024;
 constexpr Duration MinHeaderTimeout = milliseconds(100);
 
-void checkRange(IniReader &Reader, const char *Key, std::uint64_t Value,
-                std::uint64_t Min, std::uint64_t Max) {
-  if (Value < Min || Value > Max)
-    Reader.addProblem(Section, Key, ResultCode::BadSize,
-                      std::to_string(Value) + " bytes: " + std::to_string(Min) +
-                          " to " + std::to_string(Max) + " expected");
+std::uint32_t readBytes(IniReader &Reader, const char *Key, std::size_t Default,
+                        std::uint64_t Min, std::uint64_t Max) {
+  return Reader.number(Section, Key, static_cast<std::uint32_t>(Default),
+                       static_cast<std::uint32_t>(Min),
+                       static_cast<std::uint32_t>(std::min<std::uint64_t>(
+                           Max, std::numeric_limits<std::uint32_t>::max())));
 }
 
 void readRequestLimits(IniReader &Reader, std::uint64_t MemoryBytes,
                        RequestLimits &Limits) {
   Limits.m_MaxHeaderBytes =
-      Reader.size(Section, "header_bytes", Limits.m_MaxHeaderBytes);
-  checkRange(Reader, "header_bytes", Limits.m_MaxHeaderBytes, MinHeaderBytes,
-             MaxHeaderBytes);
-  Limits.m_MaxBodyBytes =
-      Reader.size(Section, "body_bytes", Limits.m_MaxBodyBytes);
-  checkRange(Reader, "body_bytes", Limits.m_MaxBodyBytes, 1,
-             MemoryBytes / MaxBodyPartOfMemory);
+      readBytes(Reader, "header_bytes", Limits.m_MaxHeaderBytes, MinHeaderBytes,
+                MaxHeaderBytes);
+  Limits.m_MaxBodyBytes = readBytes(Reader, "body_bytes", Limits.m_MaxBodyBytes,
+                                    1, MemoryBytes / MaxBodyPartOfMemory);
   Limits.m_HeaderTimeout =
       Reader.duration(Section, "header_timeout", Limits.m_HeaderTimeout);
   Limits.m_IdleTimeout =
