--- a/packages/core/types/metric.h
+++ b/packages/core/types/metric.h
@@ -58,6 +58,14 @@
   BackfilledStarts,
   SettingsReloaded,
   SettingsRejected,
+  HeadersTooLarge,
+  BodiesTooLarge,
+  RequestsTooSlow,
+  RequestsShed,
+  ConnectionsRefused,
+  ConnectionsShed,
+  ConnectionsIdle,
+  AnswersDropped,
   Count
 };
 
--- a/packages/settings/processsettings.h
+++ b/packages/settings/processsettings.h
@@ -4,6 +4,7 @@
 #include "core/log.h"
 #include "core/types/time.h"
 #include "settings/inireader.h"
+#include "settings/limitsettings.h"
 #include "settings/types/settingssource.h"
 
 #include <cstdint>
@@ -29,6 +30,7 @@
   /// IP:PORT of the platform's service; empty to run without it.
   std::string m_PlatformAddress;
   Duration m_PlatformTimeout = seconds(2);
+  LimitSettings m_Limits;
   /// How long a drain waits for work in progress.
   Duration m_DrainLimit = seconds(60);
 };
