--- a/tests/soak/faultinjector.cpp
+++ b/tests/soak/faultinjector.cpp
@@ -25,6 +25,14 @@
 constexpr Duration MaxDrainExtension = milliseconds(500);
 constexpr Duration MinDrainTime = milliseconds(2000);
 
+/// Of each kind of hostile client.
+constexpr std::size_t HostileCrowdSize = 20;
+constexpr std::size_t LargestBody = 262144;
+/// Other faults wait for this time.
+constexpr Duration MaxHostileSendTime = milliseconds(60);
+/// The opening of a PUSH socket of nng over TCP.
+const std::string PushGreeting("\0SP\0\0\x50\0\0", 8);
+
 int processIndex(const std::string &Process) {
   return std::stoi(Process.substr(Process.find('-') + 1));
 }
@@ -167,6 +175,7 @@
     startRunnerFault(Fault);
     startCallFault(Fault);
     startStoreFault(Fault);
+    startHostileClients(Fault);
   }
 }
 
@@ -219,6 +228,43 @@
     m_Fleet.setStoreFault("reply_lost");
 }
 
+void FaultInjector::startHostileClients(const ScheduledFault &Fault) {
+  if (Fault.m_Kind != FaultKind::HostileClients)
+    return;
+  std::string Path = isEntry(Fault.m_Target) ? "/q/00000000000000f1"
+                                             : "/Instances.Heartbeat/x";
+  std::string Head = "POST " + Path + " HTTP/1.1\r\nHost: 127.0.0.1\r\n";
+  int Calls = m_Fleet.callPort(Fault.m_Target);
+  int Messages = m_Fleet.messagePort(Fault.m_Target);
+  std::string Length = "Content-Length: " + std::to_string(LargestBody);
+  std::string Body(LargestBody - 1, 'x');
+  std::string OneByteLengths(7, '\0');
+  const std::vector<std::pair<int, CrowdScript>> Scripts{
+      {Calls, {}},
+      {Calls, {Head, "", 0, "", {}}},
+      {Calls, {Head + Length + "\r\n\r\n", Body, 1, "", {}}},
+      {Calls,
+       {Head + "Transfer-Encoding: chunked\r\n\r\n",
+        "1\r\nx\r\n",
+        10000,
+        "",
+        {}}},
+      {Messages, {PushGreeting, "", 0, "", {}}},
+      {Messages,
+       {PushGreeting + OneByteLengths + "\1",
+        "x" + OneByteLengths + "\1",
+        100,
+        "",
+        {}}},
+      {Messages, {Body, "", 0, "", {}}}};
+  auto &Crowds = m_Crowds[Fault.m_Target];
+  for (const auto &[Port, Script] : Scripts) {
+    Crowds.push_back(std::make_unique<Crowd>(Port, HostileCrowdSize, Script));
+    Crowds.back()->run(MaxHostileSendTime / Scripts.size(),
+                       [&Crowds] { return Crowds.back()->isSent(); });
+  }
+}
+
 void FaultInjector::endFault(const ScheduledFault &Fault) {
   const std::string &Target = Fault.m_Target;
   switch (Fault.m_Kind) {
@@ -242,6 +288,9 @@
   case FaultKind::StoreSlow:
   case FaultKind::StoreReplyLost:
     return m_Fleet.setStoreFault("none");
+  case FaultKind::HostileClients:
+    m_Crowds.erase(Target);
+    return;
   default:
     return endRunnerFault(Fault);
   }
--- a/tests/soak/faultinjector.h
+++ b/tests/soak/faultinjector.h
@@ -5,10 +5,12 @@
 #include "soak/fleet.h"
 #include "soak/soakcallers.h"
 #include "soak/soakchecker.h"
+#include "support/crowd.h"
 
 #include <atomic>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <random>
 #include <string>
@@ -45,6 +47,7 @@
   void startFault(const ScheduledFault &Fault);
   void startRunnerFault(const ScheduledFault &Fault);
   void startCallFault(const ScheduledFault &Fault);
+  void startHostileClients(const ScheduledFault &Fault);
   void startStoreFault(const ScheduledFault &Fault);
   void endFault(const ScheduledFault &Fault);
   void endStop(const ScheduledFault &Fault);
@@ -60,6 +63,7 @@
   SoakChecker &m_Checker;
   std::mt19937 m_Random;
   bool m_HasInjectedFailure = false;
+  std::map<std::string, std::vector<std::unique_ptr<Crowd>>> m_Crowds;
   std::atomic<std::uint64_t> m_Version = 1;
   mutable std::mutex m_Mutex;
   std::map<std::string, int> m_Restarts;
--- a/tests/soak/faultplan.cpp
+++ b/tests/soak/faultplan.cpp
@@ -63,6 +63,7 @@
         FaultKind::RunnerHang}},
       {"leaves", {FaultKind::RunnerLeave, FaultKind::RunnerLeaveUnanswered}},
       {"heartbeats", {FaultKind::ForeignHeartbeat}},
+      {"clients", {FaultKind::HostileClients}},
       {"store",
        {FaultKind::StoreDown, FaultKind::StoreSlow, FaultKind::StoreReplyLost,
         FaultKind::StorePaused}},
@@ -281,7 +282,8 @@
                                       "close connections",
                                       "late calls",
                                       "runner leave, unanswered",
-                                      "foreign heartbeat"};
+                                      "foreign heartbeat",
+                                      "hostile clients"};
   static_assert(std::size(Names) == static_cast<std::size_t>(FaultKind::Count));
   return Names[static_cast<std::size_t>(Kind)];
 }
--- a/tests/soak/faultplan.h
+++ b/tests/soak/faultplan.h
@@ -50,6 +50,9 @@
   RunnerLeaveUnanswered,
   /// Heartbeats of another writer under the id of a runner.
   ForeignHeartbeat,
+  /// Connections that send too much, or never finish, at all ports of a
+  /// process.
+  HostileClients,
   Count
 };
 
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -270,6 +270,16 @@
   return address(Port::EntryCalls, Entry);
 }
 
+int Fleet::callPort(const std::string &Process) const {
+  Port Kind = isEntry(Process) ? Port::EntryCalls : Port::AgentCalls;
+  return m_Options.m_BasePort + static_cast<int>(Kind) + processIndex(Process);
+}
+
+int Fleet::messagePort(const std::string &Process) const {
+  Port Kind = isEntry(Process) ? Port::EntryMessages : Port::AgentMessages;
+  return m_Options.m_BasePort + static_cast<int>(Kind) + processIndex(Process);
+}
+
 bool Fleet::isReady(int Entry) const {
   HttpRequest Request;
   Request.m_Url = "http://" + address(Port::EntryReadiness, Entry) + "/readyz";
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -74,6 +74,10 @@
   std::string callAddress(int Entry) const;
   std::string directAddress(int Entry) const;
   bool isReady(int Entry) const;
+  /// The ports of an entry or an agent for calls and for messages, without the
+  /// proxies.
+  int callPort(const std::string &Process) const;
+  int messagePort(const std::string &Process) const;
 
   /// Writes a configuration into the store; false when the store refuses it.
   bool writeConfiguration(std::uint64_t Version) const;
--- a/tests/support/crowd.cpp
+++ b/tests/support/crowd.cpp
@@ -26,7 +26,7 @@
   Address.sin_port = htons(static_cast<std::uint16_t>(Port));
   Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   // The result is seen by the first send.
-  connect(Socket, reinterpret_cast<sockaddr *>(&Address), sizeof Address);
+  (void)connect(Socket, reinterpret_cast<sockaddr *>(&Address), sizeof Address);
   return Socket;
 }
 
