--- a/packages/worker/internal/backendsession.cpp
+++ b/packages/worker/internal/backendsession.cpp
@@ -13,9 +13,6 @@
 
 /// A stop order is repeated after this time if the run has not ended.
 constexpr Duration StopRepeatPeriod = milliseconds(100);
-constexpr double Percent = 100;
-/// A server has room while at least this part of its cores is free.
-constexpr std::int64_t RoomDivisor = 4;
 constexpr std::size_t MaxFailedJobs = 1000;
 /// Requests that end runs before their start, as named in the log.
 constexpr std::string_view DropRequest = "returned_to_entry";
@@ -254,16 +251,6 @@
   return true;
 }
 
-Duration BackendSession::forecastWait(const PlacedJob &Job) const {
-  Duration Wait =
-      m_Settings.m_LookAhead
-          ? m_Runs.forecastWaitByEnds(Job, m_Timers.now(), slowness())
-          : m_Runs.forecastWait(Job, m_Timers.now(), slowness());
-  if (fitsRamp(Job))
-    return Wait;
-  return std::max(Wait, m_Runs.meanRemaining(m_Timers.now(), slowness()));
-}
-
 void BackendSession::expireRun(const RunId &Id) {
   if (RunPointer Expired = m_Runs.find(Id))
     fireRun(Expired, RunEvent::Expire, QueueTimeout);
@@ -304,20 +291,6 @@
   m_Hooks.m_Changed();
 }
 
-Backfill::Choice BackendSession::nextToStart() {
-  auto MayStart = [this](const Run &Waiting) {
-    return mayStart(Waiting) && fitsRamp(*Waiting.m_Job);
-  };
-  TimePoint Now = m_Timers.now();
-  if (!m_Settings.m_LookAhead)
-    return {m_Runs.nextToStart(Now, MayStart)};
-  auto Waiting = m_Runs.waiting(MayStart);
-  double Slowness = Waiting.empty() ? 1 : slowness();
-  return m_Backfill.next(
-      {std::move(Waiting), m_Runs.free(), Now, Slowness,
-       [&] { return expectedEnds(m_Runs.runs(), Now, Slowness); }});
-}
-
 void BackendSession::sendStart(Run &Started) {
   m_Metrics.count(Metric::StartsExecuted);
   std::uint64_t Token = m_Server.token();
@@ -530,34 +503,4 @@
   }
 }
 
-WorkerReport BackendSession::report() const {
-  WorkerReport Report;
-  Report.m_Service = announcement().m_Service;
-  Report.m_Rack = announcement().m_Rack;
-  Report.m_Kind = announcement().m_Kind;
-  Report.m_Capacity = m_Runs.capacity();
-  Report.m_Free = usableFree();
-  bool IsFull = m_Runs.activeCount() >= m_Health.runLimit();
-  Report.m_IsAccepting = isServing() && !IsFull;
-  double Slowness = slowness();
-  Report.m_SlowdownPercent = static_cast<std::uint32_t>(Percent * Slowness);
-  Report.m_MeanRemaining = m_Runs.meanRemaining(m_Timers.now(), Slowness);
-  Report.m_Waiting = m_Runs.waitingWork(m_Timers.now());
-  Report.m_Speed = m_Slowness.learned();
-  if (m_Settings.m_LookAhead)
-    reportExpectedEnds(Report, Slowness);
-  return Report;
-}
-
-/// Entries need the ends only of a server with little room.
-void BackendSession::reportExpectedEnds(WorkerReport &Report,
-                                        double Slowness) const {
-  bool HasRoom = Report.m_Waiting.empty() &&
-                 Report.m_Free.m_MilliCores >=
-                     Report.m_Capacity.m_MilliCores / RoomDivisor;
-  if (!HasRoom)
-    Report.m_ExpectedEnds =
-        mergeEnds(expectedEnds(m_Runs.runs(), m_Timers.now(), Slowness));
-}
-
 } // namespace cyclamenwalk
