--- a/packages/http/internal/rawhttp.cpp
+++ b/packages/http/internal/rawhttp.cpp
@@ -85,7 +85,7 @@
       "\r\nConnection: close\r\nContent-Length: " +
       std::to_string(Response.m_Body.size()) + "\r\n";
   for (const auto &[Name, Value] : Response.m_Headers)
-    Text += Name + ": " + Value + "\r\n";
+    Text.append(Name).append(": ").append(Value).append("\r\n");
   Text += "\r\n" + Response.m_Body;
   [[maybe_unused]] auto Sent =
       send(Socket, Text.data(), Text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
