Reload test: append to the section that the entry's file ends with

The fixture's file of an entry now has a section [bounds], for the evacuation; a second one of that name is an error, so the file with the changes was rejected and the test failed.

--- a/tests/integration/reload_test.cpp
+++ b/tests/integration/reload_test.cpp
@@ -60,8 +60,9 @@
   waitForLog("entry-0", "event=settings.reloaded reload=1 ");
   m_Agents[0]->signal(SIGHUP);
   waitForLog("agent-0", "cause=signal applied=none restart_needed=0");
-  writeSettings("entry-0", readSettings("entry-0") +
-                               "[bounds]\ndrain_limit = 5s\nlease = 800ms\n");
+  // The last section of the entry's file is [bounds].
+  writeSettings("entry-0",
+                readSettings("entry-0") + "drain_limit = 5s\nlease = 800ms\n");
   m_Entry->signal(SIGHUP);
   waitForLog("entry-0", "event=settings.restart_needed settings=bounds.lease");
   waitForLog("entry-0", "applied=bounds.drain_limit restart_needed=1");
@@ -81,7 +82,7 @@
 
 TEST_F(ReloadTest, brokenFilesAreRejectedAndNamed) {
   std::string Valid = readSettings("entry-0");
-  writeSettings("entry-0", Valid + "[bounds]\nlease = soon\n");
+  writeSettings("entry-0", Valid + "lease = soon\n");
   waitForLog("entry-0", "event=settings.rejected file=");
   EXPECT_NE(readLog("entry-0").find("code=1007"), std::string::npos);
   expectServing("00000000000000a1");
