--- a/packages/budget/tests/budget_test.cpp
+++ b/packages/budget/tests/budget_test.cpp
@@ -92,8 +92,10 @@
 /// Guards against a limit that several threads exceed together.
 TEST(MemoryBudget, holdsItsLimitWithSeveralThreads) {
   auto Budget = std::make_shared<MemoryBudget>(LimitBytes);
+  constexpr int ThreadCount = 4;
   std::vector<std::thread> Threads;
-  for (int I = 0; I < 4; ++I)
+  Threads.reserve(ThreadCount);
+  for (int I = 0; I < ThreadCount; ++I)
     Threads.emplace_back([Budget] {
       for (int Round = 0; Round < 20000; ++Round) {
         Charge Current;
--- a/packages/evacuation/tests/evacuationstate_test.cpp
+++ b/packages/evacuation/tests/evacuationstate_test.cpp
@@ -42,7 +42,7 @@
 
 /// Whatever the order in which notices arrive, the newest one is in force.
 RC_GTEST_PROP(EvacuationState, OrderOfNoticesDoesNotMatter,
-              (std::vector<std::uint8_t> Versions)) {
+              (const std::vector<std::uint8_t> &Versions)) {
   MetricsFake Metrics;
   auto State = makeEvacuationState(Metrics);
   std::uint64_t Highest = 0;
