--- a/packages/http/tests/httplimits_test.cpp
+++ b/packages/http/tests/httplimits_test.cpp
@@ -121,8 +121,10 @@
 
 /// Guards against silence towards new callers while others hold connections.
 TEST_F(HttpLimitsTest, idleConnectionsMakeRoom) {
+  constexpr int CallerCount = 40;
   std::vector<std::unique_ptr<RawCaller>> Idle;
-  for (int I = 0; I < 40; ++I)
+  Idle.reserve(CallerCount);
+  for (int I = 0; I < CallerCount; ++I)
     Idle.push_back(std::make_unique<RawCaller>(Port));
   std::this_thread::sleep_for(milliseconds(200));
   EXPECT_TRUE(isServed());
@@ -131,8 +133,10 @@
 
 /// Guards against newcomers that wait while all connections are busy.
 TEST_F(HttpLimitsTest, refusesConnectionsWhileAllAreBusy) {
+  constexpr int CallerCount = 20;
   std::vector<std::unique_ptr<RawCaller>> Busy;
-  for (int I = 0; I < 20; ++I)
+  Busy.reserve(CallerCount);
+  for (int I = 0; I < CallerCount; ++I)
     Busy.push_back(std::make_unique<RawCaller>(Port));
   RawCaller Newcomer(Port);
   std::string Refusal = Newcomer.receive();
