Don't close a connection whose request has arrived but not been read

The check of headers and idle times asks the kernel whether bytes arrived since the last response. While the polling thread was busy with another request, a whole request could be in the socket already: it was refused with 408 as a slow header, or its connection closed as idle. The check now leaves a connection with unread bytes to the next one, a header timeout later, after the library has read them.

The new test failed before with 408 and passes now; http_test passes 37 of 37.

--- a/packages/http/internal/httpdaemon.cpp
+++ b/packages/http/internal/httpdaemon.cpp
@@ -248,8 +248,14 @@
                                                  : std::nullopt);
   };
   for (const ConnectionToClose &Overdue :
-       m_Table.takeOverdue(Now, HasHeaderBegun))
-    closeSlow(*m_Connections.at(Overdue.m_Number), Overdue.m_Reason);
+       m_Table.takeOverdue(Now, HasHeaderBegun)) {
+    ClientConnection &Client = *m_Connections.at(Overdue.m_Number);
+    bool IsWaiting = Overdue.m_Reason == CloseReason::HeaderTooSlow ||
+                     Overdue.m_Reason == CloseReason::Idle;
+    // A request that the library has yet to read may be complete.
+    if (!IsWaiting || !hasUnreadBytes(Client.m_Socket))
+      closeSlow(Client, Overdue.m_Reason);
+  }
 }
 
 /// The library overlooks a client's end of connection that arrives together
--- a/packages/http/internal/rawhttp.cpp
+++ b/packages/http/internal/rawhttp.cpp
@@ -4,6 +4,7 @@
 #include <linux/tcp.h>
 #include <netinet/in.h>
 #include <strings.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace cyclamenwalk {
@@ -111,4 +112,9 @@
   return LastData > *Since + KernelTick;
 }
 
+bool hasUnreadBytes(int Socket) {
+  int Count = 0;
+  return ioctl(Socket, FIONREAD, &Count) == 0 && Count > 0;
+}
+
 } // namespace cyclamenwalk
--- a/packages/http/internal/rawhttp.h
+++ b/packages/http/internal/rawhttp.h
@@ -35,6 +35,9 @@
 /// Whether any bytes arrived after \p Since, or at all if \p Since is empty.
 bool hasReceivedSince(int Socket, std::optional<TimePoint> Since);
 
+/// Whether bytes have arrived that the library has not read yet.
+bool hasUnreadBytes(int Socket);
+
 } // namespace cyclamenwalk
 
 #endif // CYCLAMENWALK_HTTP_INTERNAL_RAWHTTP_H
--- a/packages/http/tests/httplimits_test.cpp
+++ b/packages/http/tests/httplimits_test.cpp
@@ -119,6 +119,26 @@
   EXPECT_TRUE(isEmpty());
 }
 
+/// Guards against the refusal of a request that has arrived in time, but that
+/// the polling thread was too busy to read.
+TEST(HttpLimits, servesARequestThatIsReadLate) {
+  HttpServer Server(makeSettings());
+  Server.routeQuick("POST", "/busy", [](const HttpRequest &) {
+    std::this_thread::sleep_for(milliseconds(500));
+    return HttpResponse();
+  });
+  Server.routeQuick("POST", "/job",
+                    [](const HttpRequest &) { return HttpResponse(); });
+  Server.start();
+  RawCaller Idle(Port);
+  RawCaller Other(Port);
+  std::this_thread::sleep_for(milliseconds(200));
+  Other.send("POST /busy HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+  std::this_thread::sleep_for(milliseconds(300));
+  Idle.send(makePost(1));
+  EXPECT_TRUE(Idle.receive().starts_with("HTTP/1.1 200"));
+}
+
 /// Guards against silence towards new callers while others hold connections.
 TEST_F(HttpLimitsTest, idleConnectionsMakeRoom) {
   std::vector<std::unique_ptr<RawCaller>> Idle;
