A kept connection is not taken for one with a slow header

Cause: whether a header had begun after a response was judged by the kernel's time of the last data.

Change: after a response, a header has begun when the number of bytes received grows between two checks.

--- a/packages/http/internal/exchange.h
+++ b/packages/http/internal/exchange.h
@@ -17,6 +17,10 @@
   ConnectionNumber m_Number = 0;
   int m_Socket = -1;
   bool m_HadRequest = false;
+  /// While the connection waits for a header: the bytes that had arrived at the
+  /// last check, and since when it waits.
+  std::uint64_t m_CheckedBytes = 0;
+  TimePoint m_CheckedSince;
   Charge m_Memory;
   struct Exchange *m_Exchange = nullptr;
 };
--- a/packages/http/internal/httpdaemon.cpp
+++ b/packages/http/internal/httpdaemon.cpp
@@ -242,10 +242,7 @@
   m_Watch.dispatch();
   shutDownAbandoned(Now);
   auto HasHeaderBegun = [this](ConnectionNumber Number, TimePoint Since) {
-    const ClientConnection &Client = *m_Connections.at(Number);
-    return hasReceivedSince(Client.m_Socket, Client.m_HadRequest
-                                                 ? std::optional(Since)
-                                                 : std::nullopt);
+    return hasHeaderBegun(*m_Connections.at(Number), Since);
   };
   for (const ConnectionToClose &Overdue :
        m_Table.takeOverdue(Now, HasHeaderBegun)) {
@@ -258,6 +255,20 @@
   }
 }
 
+/// After a response, a header counts as begun only when bytes arrive between
+/// two checks: a connection that is kept open for later requests has received
+/// those of the earlier ones.
+bool HttpDaemon::hasHeaderBegun(ClientConnection &Client, TimePoint Since) {
+  std::uint64_t Bytes = receivedBytes(Client.m_Socket);
+  if (!Client.m_HadRequest)
+    return Bytes > 0;
+  bool WasChecked = Client.m_CheckedSince == Since;
+  bool HasGrown = WasChecked && Bytes > Client.m_CheckedBytes;
+  Client.m_CheckedSince = Since;
+  Client.m_CheckedBytes = Bytes;
+  return HasGrown;
+}
+
 /// The library overlooks a client's end of connection that arrives together
 /// with its last data.
 void HttpDaemon::shutDownAbandoned(TimePoint Now) {
--- a/packages/http/internal/httpdaemon.h
+++ b/packages/http/internal/httpdaemon.h
@@ -60,6 +60,7 @@
   void deliverResponses();
   void applyNewLimits();
   void closeOverdue(TimePoint Now);
+  static bool hasHeaderBegun(ClientConnection &Client, TimePoint Since);
   void shutDownAbandoned(TimePoint Now);
   void abortPending();
 
--- a/packages/http/internal/rawhttp.cpp
+++ b/packages/http/internal/rawhttp.cpp
@@ -11,9 +11,6 @@
 
 namespace {
 
-/// The kernel states the time of the last data in ticks of its clock.
-constexpr Duration KernelTick = milliseconds(10);
-
 MHD_Result addToMap(void *Target, MHD_ValueKind, const char *Key,
                     const char *Value) {
   auto &Values = *static_cast<std::map<std::string, std::string> *>(Target);
@@ -101,15 +98,11 @@
   return Response;
 }
 
-bool hasReceivedSince(int Socket, std::optional<TimePoint> Since) {
+std::uint64_t receivedBytes(int Socket) {
   tcp_info Info{};
   socklen_t Length = sizeof Info;
-  if (getsockopt(Socket, IPPROTO_TCP, TCP_INFO, &Info, &Length) != 0)
-    return false;
-  if (!Since)
-    return Info.tcpi_bytes_received > 0;
-  TimePoint LastData = Clock::now() - milliseconds(Info.tcpi_last_data_recv);
-  return LastData > *Since + KernelTick;
+  bool IsKnown = getsockopt(Socket, IPPROTO_TCP, TCP_INFO, &Info, &Length) == 0;
+  return IsKnown ? Info.tcpi_bytes_received : 0;
 }
 
 bool hasUnreadBytes(int Socket) {
--- a/packages/http/internal/rawhttp.h
+++ b/packages/http/internal/rawhttp.h
@@ -32,8 +32,9 @@
 /// A refusal without a body.
 HttpResponse makePlainRefusal(ResultCode Code);
 
-/// Whether any bytes arrived after \p Since, or at all if \p Since is empty.
-bool hasReceivedSince(int Socket, std::optional<TimePoint> Since);
+/// The number of bytes that have arrived at \p Socket; zero where the system
+/// doesn't tell.
+std::uint64_t receivedBytes(int Socket);
 
 /// Whether bytes have arrived that the library has not read yet.
 bool hasUnreadBytes(int Socket);
--- a/packages/http/tests/httplimits_test.cpp
+++ b/packages/http/tests/httplimits_test.cpp
@@ -119,6 +119,32 @@
   EXPECT_TRUE(isEmpty());
 }
 
+/// Guards against refusing callers that keep their connection: what arrived for
+/// an earlier request is no header that has begun.
+TEST_F(HttpLimitsTest, keptConnectionOutlastsTheHeaderTimeout) {
+  RawCaller Caller(Port);
+  Caller.send("POST /job HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx");
+  std::this_thread::sleep_for(milliseconds(1200));
+  Caller.send("POST /job HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+              "Connection: close\r\n\r\nx");
+  Caller.receive();
+  EXPECT_EQ(m_Handled, 2);
+}
+
+/// Guards against headers that never end on a connection that was served
+/// before.
+TEST_F(HttpLimitsTest, refusesASlowHeaderAfterAResponse) {
+  RawCaller Caller(Port);
+  Caller.send("POST /job HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx");
+  std::this_thread::sleep_for(milliseconds(100));
+  for (int I = 0; I < 20; ++I) {
+    Caller.send(I == 0 ? "POST /job HTTP/1.1\r\nX-Fill: " : "x");
+    std::this_thread::sleep_for(milliseconds(100));
+  }
+  EXPECT_NE(Caller.receive().find("HTTP/1.1 408"), std::string::npos);
+  EXPECT_EQ(m_Handled, 1);
+}
+
 /// Guards against the refusal of a request that has arrived in time, but that
 /// the polling thread was too busy to read.
 TEST(HttpLimits, servesARequestThatIsReadLate) {
