Note paused links before the receiver looks at what was handled

resume() set m_HasPaused after it had read what the control thread had handled. If the control thread handled the last waiting message in between, it found the flag clear and woke nobody, so that the links stayed unread until the check 500 ms later. The flag is now set first, as in pause(), and cleared if no link is still paused. Found by reading; the window is too short for a test.

--- a/packages/transport/internal/messagereceiver.cpp
+++ b/packages/transport/internal/messagereceiver.cpp
@@ -240,18 +240,24 @@
   }
 
   void resume() {
+    // Set before the ledger learns what was handled: the control thread may
+    // handle the last message meanwhile.
+    m_HasPaused = true;
     for (const auto &Numbered : m_Connections)
       settle(*Numbered.second);
+    bool HasPaused = false;
     for (const auto &[Id, Reader] : m_Connections) {
       if (!Reader->m_IsPaused)
         continue;
       if (m_Ledger.mustPause(Id)) {
-        m_HasPaused = true;
+        HasPaused = true;
         continue;
       }
       Reader->m_IsPaused = false;
       waitForInput(Reader);
     }
+    if (!HasPaused)
+      m_HasPaused = false;
   }
 
   void scheduleCheck() {
