Check the limits that an entry adopts, not a second reading of them

The check decoded the object limits itself and called a limit of 0 a contradiction, while an entry ignores such a value.

--- a/packages/configuration/configurationcheck.h
+++ b/packages/configuration/configurationcheck.h
@@ -31,18 +31,9 @@
   std::string m_Text;
 };
 
-/// Limits on requests that a configuration states.
-struct StatedLimits {
-  std::optional<std::uint64_t> m_MaxHeaderBytes;
-  std::optional<std::uint64_t> m_MaxBodyBytes;
-  std::optional<Duration> m_HeaderTimeout;
-  std::optional<Duration> m_IdleTimeout;
-};
-
 /// What is known beside the configuration. Rules whose facts are missing find
 /// nothing.
 struct CheckFacts {
-  StatedLimits m_Limits;
   /// Memory of the smallest process that receives requests, in bytes.
   std::optional<std::uint64_t> m_Memory;
   /// The services that backend servers serve now.
--- a/packages/configuration/internal/configurationcheck.cpp
+++ b/packages/configuration/internal/configurationcheck.cpp
@@ -184,7 +184,7 @@
   }
 
   void checkRequestLimits() {
-    const StatedLimits &Limits = m_Facts.m_Limits;
+    const ConfiguredLimits &Limits = m_State.m_Limits;
     auto AddContradiction = [&](Severity Level, const std::string &Text) {
       add(ResultCode::ContradictingLimits, Level, "limits", Text);
     };
