--- a/packages/transport/internal/messagereceiver.cpp
+++ b/packages/transport/internal/messagereceiver.cpp
@@ -53,8 +53,8 @@
 ReceiveLimits effectiveLimits(const TransportSettings &Settings) {
   ReceiveLimits Limits = Settings.m_ReceiveLimits;
   Limits.m_PeerBytes = std::max(Limits.m_PeerBytes, Settings.m_MessageLimit);
-  Limits.m_StrangerBytes =
-      std::max(Limits.m_StrangerBytes, Settings.m_MessageLimit);
+  Limits.m_UnknownPeerBytes =
+      std::max(Limits.m_UnknownPeerBytes, Settings.m_MessageLimit);
   return Limits;
 }
 
--- a/packages/transport/internal/receiveledger.cpp
+++ b/packages/transport/internal/receiveledger.cpp
@@ -8,7 +8,7 @@
   m_Connections.emplace(New, Connection{});
   if (m_Connections.size() <= m_Limits.m_MaxConnections)
     return std::nullopt;
-  // The new connection is a stranger too, and the last of them.
+  // The peer of the new connection is unknown too, and the last of those.
   return std::find_if(m_Connections.begin(), m_Connections.end(),
                       [](const auto &Entry) { return !Entry.second.m_IsPeer; })
       ->first;
@@ -38,7 +38,8 @@
   Total += Bytes;
   It->second.m_KeptBytes += Bytes;
   bool IsPeer = It->second.m_IsPeer;
-  std::size_t Limit = IsPeer ? m_Limits.m_PeerBytes : m_Limits.m_StrangerBytes;
+  std::size_t Limit =
+      IsPeer ? m_Limits.m_PeerBytes : m_Limits.m_UnknownPeerBytes;
   return Total > Limit ? largestKeeper(IsPeer) : std::nullopt;
 }
 
@@ -94,8 +95,8 @@
     ++Current.m_ChecksSinceOpen;
     ++Current.m_ChecksSinceActivity;
     bool IsUnknown =
-        !Current.m_IsPeer &&
-        Current.m_ChecksSinceOpen * CheckPeriod >= m_Limits.m_StrangerTimeout;
+        !Current.m_IsPeer && Current.m_ChecksSinceOpen * CheckPeriod >=
+                                 m_Limits.m_UnknownPeerTimeout;
     if (IsUnknown ||
         Current.m_ChecksSinceActivity * CheckPeriod >= m_Limits.m_IdleTimeout)
       Expired.push_back(Id);
--- a/packages/transport/internal/receiveledger.h
+++ b/packages/transport/internal/receiveledger.h
@@ -23,8 +23,8 @@
   explicit ReceiveLedger(const ReceiveLimits &Limits) : m_Limits(Limits) {}
 
   /// Adds a connection. When there are too many, returns the one to close: the
-  /// oldest stranger, since a peer is known soon after it connects, or the new
-  /// one if there are only peers.
+  /// oldest of an unknown peer, since a peer is known soon after it connects,
+  /// or the new one if there are only peers.
   std::optional<ConnectionId> open(ConnectionId New);
 
   void close(ConnectionId Closed);
@@ -33,8 +33,8 @@
   void setPeer(ConnectionId Known);
 
   /// Records that \p Bytes of an incomplete message are kept. When those of all
-  /// peers or strangers are too many, returns the connection among them that
-  /// keeps most, which is to be closed.
+  /// peers or unknown peers are too many, returns the connection among them
+  /// that keeps most, which is to be closed.
   std::optional<ConnectionId> keep(ConnectionId Reader, std::size_t Bytes);
 
   /// Records that an incomplete message has been completed.
@@ -54,9 +54,9 @@
   /// closed.
   bool recordMalformed(ConnectionId Reader);
 
-  /// Returns the connections to close because they are silent or remained
-  /// strangers. Counts calls instead of time, so that a pause of the process
-  /// does not make its peers look silent.
+  /// Returns the connections to close because they are silent or their peers
+  /// remained unknown. Counts calls instead of time, so that a pause of the
+  /// process does not make its peers look silent.
   std::vector<ConnectionId> expire();
 
   std::size_t size() const { return m_Connections.size(); }
@@ -73,13 +73,13 @@
 
   std::optional<ConnectionId> largestKeeper(bool IsPeer) const;
   std::size_t &keptBytes(const Connection &Owner) {
-    return Owner.m_IsPeer ? m_PeerBytes : m_StrangerBytes;
+    return Owner.m_IsPeer ? m_PeerBytes : m_UnknownPeerBytes;
   }
 
   const ReceiveLimits m_Limits;
   std::map<ConnectionId, Connection> m_Connections;
   std::size_t m_PeerBytes = 0;
-  std::size_t m_StrangerBytes = 0;
+  std::size_t m_UnknownPeerBytes = 0;
   std::size_t m_WaitingBytes = 0;
 };
 
--- a/packages/transport/tests/receiveledger_test.cpp
+++ b/packages/transport/tests/receiveledger_test.cpp
@@ -12,10 +12,10 @@
   ReceiveLimits Limits;
   Limits.m_MaxConnections = 3;
   Limits.m_PeerBytes = 1000;
-  Limits.m_StrangerBytes = 100;
+  Limits.m_UnknownPeerBytes = 100;
   Limits.m_WaitingBytesPerConnection = 50;
   Limits.m_WaitingBytes = 120;
-  Limits.m_StrangerTimeout = seconds(1);
+  Limits.m_UnknownPeerTimeout = seconds(1);
   Limits.m_IdleTimeout = seconds(2);
   Limits.m_MaxMalformed = 1;
   return Limits;
@@ -23,8 +23,8 @@
 
 } // namespace
 
-// Guards against strangers that take the connections of peers.
-TEST(ReceiveLedger, closesTheOldestStrangerWhenThereAreTooMany) {
+// Guards against unknown peers that take the connections of peers.
+TEST(ReceiveLedger, closesTheOldestUnknownPeerWhenThereAreTooMany) {
   ReceiveLedger Ledger(smallLimits());
   for (ConnectionId Id : {1, 2, 3})
     EXPECT_EQ(Ledger.open(Id), std::nullopt);
@@ -36,8 +36,8 @@
   EXPECT_EQ(Ledger.open(5), 5U);
 }
 
-// Guards against strangers that take the memory of peers.
-TEST(ReceiveLedger, closesTheLargestOfTheStrangers) {
+// Guards against unknown peers that take the memory of peers.
+TEST(ReceiveLedger, closesTheLargestOfTheUnknownPeers) {
   ReceiveLedger Ledger(smallLimits());
   for (ConnectionId Id : {1, 2, 3})
     Ledger.open(Id);
@@ -110,12 +110,13 @@
       std::size_t Total = 0;
       for (const auto &Entry : Kept)
         Total += Entry.second;
-      RC_ASSERT(Total <= smallLimits().m_StrangerBytes);
+      RC_ASSERT(Total <= smallLimits().m_UnknownPeerBytes);
       RC_ASSERT(Ledger.size() <= smallLimits().m_MaxConnections);
     }
     for (ConnectionId Id = 1; Id <= Last; ++Id)
       Close(Id);
     Ledger.open(++Last);
-    RC_ASSERT(Ledger.keep(Last, smallLimits().m_StrangerBytes) == std::nullopt);
+    RC_ASSERT(Ledger.keep(Last, smallLimits().m_UnknownPeerBytes) ==
+              std::nullopt);
   }));
 }
