--- a/models/evacuation.pml
+++ b/models/evacuation.pml
@@ -5,10 +5,10 @@
  * store at any time.
  *
  * Properties: the version known to a process never decreases; what it holds is
- * what the store held at that version, so that older words never win; the agent
- * starts no task after it has learned of an evacuation that is in force; and
- * once the operator has ended and an entry has read the store, its peers agree
- * with the store. */
+ * what the store held at that version, so that an older state never replaces a
+ * newer one; the agent starts no task after it has learned of an evacuation that
+ * is in force; and once the operator has ended and an entry has read the store,
+ * its peers agree with the store. */
 
 #define ENTRIES 2
 #define AGENT 2
