--- a/packages/agent/internal/agentprogram.cpp
+++ b/packages/agent/internal/agentprogram.cpp
@@ -14,6 +14,7 @@
 #include "process/chartlocation.h"
 #include "process/filereload.h"
 #include "process/processlifecycle.h"
+#include "process/processlistener.h"
 #include "process/signalwatch.h"
 #include "rowcodec/rowcodecs.h"
 #include "settings/desiredstatereader.h"
@@ -46,9 +47,6 @@
   return Response;
 }
 
-/// Requests that wait for an answer hold one each.
-constexpr std::size_t MaxHandlerThreads = 256;
-
 } // namespace
 
 class AgentProgram::Impl {
@@ -79,7 +77,7 @@
             {[this] { lookUpEntries(); }, nullptr, selectAllEntries}, *m_Links,
             m_Loop)),
         m_Lifecycle(lifecycleHooks(), m_Process.m_DrainLimit, m_Charts, m_Loop),
-        m_Http(httpListener()) {
+        m_Http(makeProcessListener(m_Process, m_Metrics)) {
     setLinkHooks();
     addHttpRoutes();
     subscribeToSettings();
@@ -100,17 +98,6 @@
   }
 
 private:
-  HttpServerSettings httpListener() {
-    const LimitSettings &Limits = m_Process.m_Limits;
-    BudgetPlan Plan = planBudget(
-        {Limits.m_MemoryBytes, Limits.m_Descriptors, Limits.m_MaxConnections,
-         connectionBytes(Limits.m_Requests.m_MaxHeaderBytes)});
-    HttpServerSettings Listener = makeListener(
-        m_Process.m_HttpListen, Limits.m_Requests, Plan.m_Clients, m_Metrics);
-    Listener.m_MaxHandlerThreads = MaxHandlerThreads;
-    return Listener;
-  }
-
   ProcessIdentity makeIdentity() const {
     return {m_Process.m_Name, generateIncarnation(),
             m_Process.m_MessageListenAddress, m_Process.m_FailureDomain,
--- a/packages/entry/internal/entryprogram.cpp
+++ b/packages/entry/internal/entryprogram.cpp
@@ -14,6 +14,7 @@
 #include "membership/membershipmodule.h"
 #include "process/chartlocation.h"
 #include "process/filereload.h"
+#include "process/processlistener.h"
 #include "process/signalwatch.h"
 #include "request/requestmodule.h"
 #include "rowcodec/rowcodecs.h"
@@ -36,9 +37,6 @@
   return readDesiredState(Text, "configuration");
 }
 
-/// Requests that wait for an answer hold one each.
-constexpr std::size_t MaxHandlerThreads = 256;
-
 } // namespace
 
 class EntryProgram::Impl {
@@ -77,7 +75,7 @@
                   *m_Apply,    *m_Store,
                   m_Lifecycle, m_Metrics},
         m_CallerApi(m_Context), m_OperatorApi(m_Context),
-        m_Http(httpListener()) {
+        m_Http(makeProcessListener(m_Process, m_Metrics)) {
     setLinkHooks();
     addHttpRoutes();
     subscribeToSettings();
@@ -98,17 +96,6 @@
   }
 
 private:
-  HttpServerSettings httpListener() {
-    const LimitSettings &Limits = m_Process.m_Limits;
-    BudgetPlan Plan = planBudget(
-        {Limits.m_MemoryBytes, Limits.m_Descriptors, Limits.m_MaxConnections,
-         connectionBytes(Limits.m_Requests.m_MaxHeaderBytes)});
-    HttpServerSettings Listener = makeListener(
-        m_Process.m_HttpListen, Limits.m_Requests, Plan.m_Clients, m_Metrics);
-    Listener.m_MaxHandlerThreads = MaxHandlerThreads;
-    return Listener;
-  }
-
   EntryAddress makeEntryAddress() const {
     return {m_Process.m_Name, generateIncarnation(),
             m_Process.m_MessageListenAddress, m_Process.m_HttpListen,
