--- a/tests/integration/platformfixture.h
+++ b/tests/integration/platformfixture.h
@@ -81,8 +81,8 @@
     int Calls = IsEntry ? 0 : AgentOffset + Index;
     int Messages = IsEntry ? 1 : AgentOffset + 20 + Index;
     std::ofstream Stream(File);
-    Stream << "[process]\nname = " << Name
-           << "\nfailure_domain = z" << Index << "\ncharts = " << CW_CHART_DIR
+    Stream << "[process]\nname = " << Name << "\nfailure_domain = z" << Index
+           << "\ncharts = " << CW_CHART_DIR
            << "\n[listen]\nmessages = " << address(Messages)
            << "\ncalls = " << address(Calls) << "\nmetrics = "
            << address(MetricsOffset + (IsEntry ? 0 : 1 + Index)) << "\n";
@@ -132,11 +132,11 @@
     HttpRequest Request;
     Request.m_Method = "POST";
     Request.m_Url = "http://" + address(StoreOffset) + "/rows-tx";
-    Request.m_Body =
-        nlohmann::json{{"expected-revision", nlohmann::json::array()},
-                       {"set-keys", Writes},
-                       {"remove", Removals}}
-            .dump();
+    Request.m_Body = nlohmann::json{
+        {"expected-revision", nlohmann::json::array()},
+        {"set-keys", Writes},
+        {"remove",
+         Removals}}.dump();
     return sendHttpRequest(Request, seconds(1)).m_Status == 200;
   }
 
