--- a/packages/settings/internal/inidocument.cpp
+++ b/packages/settings/internal/inidocument.cpp
@@ -86,6 +86,12 @@
   int m_Line = 0;
 };
 
+std::string qualifiedKey(const std::string &Section, const std::string &Key) {
+  std::string Qualified = Section;
+  Qualified.append(".").append(Key);
+  return Qualified;
+}
+
 } // namespace
 
 IniDocument parseIni(const std::string &Text, const std::string &File) {
@@ -99,7 +105,7 @@
   std::map<std::string, std::string> Texts;
   for (const auto &[SectionName, Section] : Document.m_Sections)
     for (const auto &[Key, Value] : Section.m_Values)
-      Texts[SectionName + "." + Key] = Value.m_Text;
+      Texts[qualifiedKey(SectionName, Key)] = Value.m_Text;
   return Texts;
 }
 
