--- a/review/harness2.py
+++ b/review/harness2.py
@@ -31,10 +31,23 @@
     """The case could not be set up; says nothing about the rule."""
 
 
+TAKEN_PORTS = set()
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A port below those that the system gives to outgoing connections, so that
+    a process that is started again finds it free."""
+    while True:
+        port = random.randrange(20000, 32000)
+        if port in TAKEN_PORTS:
+            continue
+        TAKEN_PORTS.add(port)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 def has_disruption():
