--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""Runners of which another writer says that they drain, for another service."""
+"""A deployment whose bound grace-s is a fraction."""
 
 import sys
 import time
@@ -9,46 +9,64 @@
 
 import harness3 as h
 
-FOREIGN_SERVICE = "other"
-DAY_S = 25.0
+GRACE_S = 4.5 if h.TROUBLE else 6
+DAY_S = 20.0
+RESTART_S = 0.5
 REQUEST_PAUSE_S = 0.5
+# RULES.md, Fault: ends by itself three times, on a tenth of the machines in
+# use, two at least.
+MAX_EXITS = 3
+MIN_MACHINES = 2
 
 
-def send_foreign_heartbeat(record, runner):
-    """One call under the runner's id that names another service."""
-    body = dict(runner.heartbeat(), service=FOREIGN_SERVICE, state="draining")
-    answer = h.call(runner.agent_port, "POST",
-                    f"/Instances.Heartbeat/{runner.name}", body, timeout=1)
-    record.log(f"another writer's heartbeat for {runner.name}: service "
-               f"{FOREIGN_SERVICE}, draining: {answer}")
+def restart_ended(machine, ended_at):
+    """The platform starts a process again shortly after it has ended."""
+    if machine.process.poll() is None:
+        return
+    if machine.name not in ended_at:
+        ended_at[machine.name] = h.now()
+        machine.exits.append(machine.process.returncode)
+        machine.fleet.record.log(
+            f"{machine.name} ended by itself with {machine.process.returncode}")
+    elif h.now() - ended_at[machine.name] >= RESTART_S:
+        del ended_at[machine.name]
+        machine.start()
 
 
 def play(record):
-    fleet = h.Fleet(record, entries=2, agents=2)
+    record.log(f"grace-s {GRACE_S}")
+    fleet = h.Fleet(record, entries=2, agents=2, bounds={"grace-s": GRACE_S})
+    machines = fleet.entries + fleet.agents
     try:
-        fleet.start()
-        time.sleep(2)
-        if h.TROUBLE:
-            for runner in fleet.runners:
-                send_foreign_heartbeat(record, runner)
-        time.sleep(2)
-        served = sent = 0
+        for machine in machines:
+            machine.start()
         until = h.now() + DAY_S
+        ended_at = {}
+        served = sent = 0
+        next_request = h.now() + 3
         while h.now() < until:
-            job = h.new_job()
-            answer = h.submit(fleet.entries[sent % 2], job, work_ms=50,
-                              deadline_ms=1500)
-            sent += 1
-            served += bool(answer) and answer[0] == 200
-            record.log(f"POST {job}: {answer}")
-            time.sleep(REQUEST_PAUSE_S)
-        acked = [sum(state == "ready" for _, state in runner.heartbeats_acked)
-                 for runner in fleet.runners]
-        record.log(f"{served} of {sent} requests were served; the runners' own "
-                   f"heartbeats (ready) were acknowledged {acked} times")
+            for machine in machines:
+                restart_ended(machine, ended_at)
+            if h.now() >= next_request:
+                next_request = h.now() + REQUEST_PAUSE_S
+                job = h.new_job()
+                answer = h.submit(fleet.entries[sent % 2], job, work_ms=50,
+                                  deadline_ms=1500)
+                sent += 1
+                served += bool(answer) and answer[0] == 200
+                record.log(f"POST {job}: {answer}")
+            time.sleep(0.02)
+        bad = [machine for machine in machines
+               if len(machine.exits) >= MAX_EXITS]
+        for machine in bad:
+            record.log(f"FAULT: {machine.name} ended by itself "
+                       f"{len(machine.exits)} times; it wrote: "
+                       f"{machine.log_text().splitlines()[-1][:300]}")
+        record.log(f"{served} of {sent} requests were served")
         if not served:
-            record.log("Fault: no request was served")
-        return h.HELD if served else h.BROKEN
+            record.log("FAULT: no request was served")
+        is_broken = len(bad) >= MIN_MACHINES or not served
+        return h.BROKEN if is_broken else h.HELD
     finally:
         fleet.stop()
 
