--- a/review/harness3.py
+++ b/review/harness3.py
@@ -315,6 +315,7 @@
         self.port, = free_ports(1)
         self.state = "ready"
         self.starts = []  # (time, task, run)
+        self.ends = []  # (time, task)
         self.heartbeats_acked = []  # (time, state)
         self.born = int(time.time() * 1000)
         self._clock_start = now() - 1
@@ -337,6 +338,10 @@
     def clock(self):
         return int((now() - self._clock_start) * 1000)
 
+    def running_tasks(self):
+        with self._changed:
+            return list(self._running)
+
     def heartbeat(self):
         return {"service": SERVICE, "address": f"{HOST}:{self.port}",
                 "zone": "ylaportti", "version": "v1", "slots": 8,
@@ -362,6 +367,7 @@
         del self._running[run.task]
         self._last_number += 1
         self._ended.append([self._last_number, run.task, run.number, how, ""])
+        self.ends.append((now(), run.task))
         self.record.log(f"{self.name} end {run.task} run {run.number} {how}")
         self._changed.notify_all()
 
@@ -469,6 +475,7 @@
             free_ports(5)
         self.process = None
         self.exits = []
+        self.seeds = None  # ports; else those of the first three entries
 
     def fields(self):
         return {
@@ -477,8 +484,8 @@
                              "readiness": f"{HOST}:{self.readiness}",
                              "control-plane": f"{HOST}:{self.control}"},
             "internal-port-range": [self.first, self.last],
-            "seeds": [f"{HOST}:{machine.control}"
-                      for machine in self.fleet.entries][:3],
+            "seeds": [f"{HOST}:{port}" for port in self.seeds or
+                      [entry.control for entry in self.fleet.entries[:3]]],
             "limits": {"cpu-share": 0.25, "memory-mb": 260, "max-fds": 4100},
             "contracts": ["base", "drain", "config", "recover", "sched",
                           "platform"],
