--- a/review/13/case.py
+++ b/review/13/case.py
@@ -59,9 +59,10 @@
         bad = [machine for machine in machines
                if len(machine.exits) >= MAX_EXITS]
         for machine in bad:
+            last_line = machine.log_text().splitlines()[-1]
             record.log(f"FAULT: {machine.name} ended by itself "
                        f"{len(machine.exits)} times; it wrote: "
-                       f"{machine.log_text().splitlines()[-1][:300]}")
+                       f"{last_line.replace(str(fleet.folder), 'FOLDER')}")
         record.log(f"{served} of {sent} requests were served")
         if not served:
             record.log("FAULT: no request was served")
