A bound that is a fraction no longer keeps processes from starting

Entries and agents ended at each start with error 1007, 39 times in 20 s.

Cause: one parser of whole numbers stood behind every duration and size of settings files: digits, then the unit, so .5s was taken for the unit. The templates put bounds of the deployment there, which may be fractions (DEPLOY.md, Settings of a process). grace-s, hold-max-ms and evacuate-ms went that way, also where a whole number is written 6.0. Ruled out: the templates (the text arrives as the platform states it), remote-penalty and resend-ms (parsers of their own, which read fractions).

Change: durations, sizes, counts and percentages are read by the exact decimal parser. Durations and sizes take fractions, rounded down, as most are limits; counts and percentages stay whole and may be written with a point. A port is digits only; before, what followed a space was dropped.

Evidence: on the code before, IniReader.readsDurationsWithFractions, readsSizesWithFractions, readsWholeNumbersWrittenWithAPoint, portsAreDigitsOnly, problemsNameTheLineTheKeyAndTheForm, DeployTemplates.anyBoundMayBeAFraction (agent-full.ini:21: error 1007: drain_limit = 2000.5s) and fractionsArriveWhole failed.

--- a/packages/settings/inireader.h
+++ b/packages/settings/inireader.h
@@ -37,18 +37,20 @@
   std::vector<std::string> addresses(const std::string &Section,
                                      const std::string &Key);
 
+  /// Reads a whole number, which may be written with a point (8192.0).
   std::uint32_t number(const std::string &Section, const std::string &Key,
                        std::uint32_t Default, std::uint32_t Min,
                        std::uint32_t Max);
 
-  /// Reads a number followed by a percent sign.
+  /// Reads a whole number followed by a percent sign.
   std::uint32_t percent(const std::string &Section, const std::string &Key,
                         std::uint32_t Default);
 
+  /// Reads a duration above 0 as parseDuration() does.
   Duration duration(const std::string &Section, const std::string &Key,
                     Duration Default);
 
-  /// Reads a size with a unit and returns it in bytes.
+  /// Reads a size above 0 with a unit and returns it in bytes, rounded down.
   std::uint64_t size(const std::string &Section, const std::string &Key,
                      std::uint64_t Default);
 
--- a/packages/settings/internal/inireader.cpp
+++ b/packages/settings/internal/inireader.cpp
@@ -1,9 +1,10 @@
 #include "settings/inireader.h"
 
+#include "core/types/durationtext.h"
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <charconv>
-#include <limits>
 #include <optional>
 
 namespace cyclamenwalk {
@@ -12,16 +13,10 @@
 
 constexpr std::size_t MaxNameLength = 63;
 constexpr std::uint32_t MaxPort = 65535;
-constexpr std::uint32_t MaxPercent = 100;
+constexpr std::int64_t MaxPercent = 100;
 const char *const NameSyntax = "a name of 1 to 63 letters, digits, '-' and '.'";
 const char *const AddressSyntax = "an address IP:PORT";
 
-/// A whole number and the unit that follows it.
-struct NumberAndUnit {
-  std::uint64_t m_Number = 0;
-  std::string m_Unit;
-};
-
 std::string describeMismatch(const std::string &Key, const std::string &Text,
                              const std::string &Expected) {
   return Key + " = " + Text + ": expected " + Expected;
@@ -35,49 +30,39 @@
   return Text.substr(First, Last - First + 1);
 }
 
-std::optional<NumberAndUnit> splitNumber(const std::string &Text) {
-  NumberAndUnit Parts;
-  const char *End = Text.data() + Text.size();
-  auto Result = std::from_chars(Text.data(), End, Parts.m_Number);
-  if (Result.ec != std::errc())
+/// A product of a number and a unit, rounded down.
+std::optional<std::int64_t> toSize(const std::string &Text) {
+  static const std::map<std::string, std::int64_t, std::less<>> Bytes = {
+      {"B", 1},
+      {"KB", 1024LL},
+      {"MB", 1024LL * 1024},
+      {"GB", 1024LL * 1024 * 1024}};
+  auto Prefix = parseDecimalPrefix(Text);
+  if (!Prefix)
+    return std::nullopt;
+  auto Unit = Bytes.find(trim(std::string(Prefix->m_Rest)));
+  if (Unit == Bytes.end())
     return std::nullopt;
-  Parts.m_Unit = trim(std::string(Result.ptr, End));
-  return Parts;
+  return floorOfProduct(Prefix->m_Number, Unit->second);
 }
 
-std::optional<std::uint64_t>
-scale(const NumberAndUnit &Parts,
-      const std::map<std::string, std::uint64_t> &Units) {
-  auto Unit = Units.find(Parts.m_Unit);
-  if (Unit == Units.end())
-    return std::nullopt;
-  constexpr std::uint64_t MaxProduct = INT64_MAX;
-  if (Parts.m_Number > MaxProduct / Unit->second)
-    return std::nullopt;
-  return Parts.m_Number * Unit->second;
+std::optional<std::int64_t> toPercent(const std::string &Text) {
+  auto Prefix = parseDecimalPrefix(Text);
+  bool HasUnit = Prefix && trim(std::string(Prefix->m_Rest)) == "%";
+  return HasUnit ? toWhole(Prefix->m_Number) : std::nullopt;
 }
 
-std::optional<Duration> toDuration(const std::string &Text) {
-  static const std::map<std::string, std::uint64_t> Nanoseconds = {
-      {"us", 1000ULL},
-      {"ms", 1000ULL * 1000},
-      {"s", 1000ULL * 1000 * 1000},
-      {"min", 60ULL * 1000 * 1000 * 1000}};
-  auto Parts = splitNumber(Text);
-  auto Scaled = Parts ? scale(*Parts, Nanoseconds) : std::nullopt;
-  if (!Scaled)
-    return std::nullopt;
-  return Duration(static_cast<std::int64_t>(*Scaled));
+std::optional<std::int64_t> toWholeNumber(const std::string &Text) {
+  auto Number = parseDecimal(Text);
+  return Number ? toWhole(*Number) : std::nullopt;
 }
 
-std::optional<std::uint64_t> toSize(const std::string &Text) {
-  static const std::map<std::string, std::uint64_t> Bytes = {
-      {"B", 1},
-      {"KB", 1024ULL},
-      {"MB", 1024ULL * 1024},
-      {"GB", 1024ULL * 1024 * 1024}};
-  auto Parts = splitNumber(Text);
-  return Parts ? scale(*Parts, Bytes) : std::nullopt;
+bool isPort(const std::string &Text) {
+  std::uint32_t Port = 0;
+  const char *End = Text.data() + Text.size();
+  auto Result = std::from_chars(Text.data(), End, Port);
+  return Result.ec == std::errc() && Result.ptr == End && Port > 0 &&
+         Port <= MaxPort;
 }
 
 } // namespace
@@ -97,9 +82,7 @@
   in_addr Address;
   bool IsIpv4Address =
       inet_pton(AF_INET, Text.substr(0, Colon).c_str(), &Address) == 1;
-  auto Port = splitNumber(Text.substr(Colon + 1));
-  return IsIpv4Address && Port && Port->m_Unit.empty() && Port->m_Number > 0 &&
-         Port->m_Number <= MaxPort;
+  return IsIpv4Address && isPort(Text.substr(Colon + 1));
 }
 
 class IniReader::Impl {
@@ -238,13 +221,11 @@
   const IniValue *Value = m_Impl->find(Section, Key);
   if (!Value)
     return Default;
-  auto Parts = splitNumber(Value->m_Text);
-  bool IsInRange = Parts && Parts->m_Unit.empty() && Parts->m_Number >= Min &&
-                   Parts->m_Number <= Max;
-  if (IsInRange)
-    return static_cast<std::uint32_t>(Parts->m_Number);
+  auto Number = toWholeNumber(Value->m_Text);
+  if (Number && *Number >= Min && *Number <= Max)
+    return static_cast<std::uint32_t>(*Number);
   m_Impl->addBadValue(Key, *Value, ResultCode::BadNumber,
-                      "a number from " + std::to_string(Min) + " to " +
+                      "a whole number from " + std::to_string(Min) + " to " +
                           std::to_string(Max));
   return Default;
 }
@@ -255,11 +236,11 @@
   const IniValue *Value = m_Impl->find(Section, Key);
   if (!Value)
     return Default;
-  auto Parts = splitNumber(Value->m_Text);
-  if (Parts && Parts->m_Unit == "%" && Parts->m_Number <= MaxPercent)
-    return static_cast<std::uint32_t>(Parts->m_Number);
+  auto Percent = toPercent(Value->m_Text);
+  if (Percent && *Percent <= MaxPercent)
+    return static_cast<std::uint32_t>(*Percent);
   m_Impl->addBadValue(Key, *Value, ResultCode::BadNumber,
-                      "a percentage such as 50%");
+                      "a whole percentage such as 50%");
   return Default;
 }
 
@@ -268,11 +249,11 @@
   const IniValue *Value = m_Impl->find(Section, Key);
   if (!Value)
     return Default;
-  auto Result = toDuration(Value->m_Text);
+  auto Result = parseDuration(Value->m_Text);
   if (Result && *Result > Duration::zero())
     return *Result;
   m_Impl->addBadValue(Key, *Value, ResultCode::BadDuration,
-                      "a duration such as 500ms, 2s or 5min");
+                      "a duration above 0 such as 500ms, 2.5s or 5min");
   return Default;
 }
 
@@ -283,9 +264,9 @@
     return Default;
   auto Result = toSize(Value->m_Text);
   if (Result && *Result > 0)
-    return *Result;
+    return static_cast<std::uint64_t>(*Result);
   m_Impl->addBadValue(Key, *Value, ResultCode::BadSize,
-                      "a size such as 512KB or 4MB");
+                      "a size above 0 such as 512KB or 1.5MB");
   return Default;
 }
 
