--- a/tests/integration/reload_test.cpp
+++ b/tests/integration/reload_test.cpp
@@ -96,6 +96,22 @@
   EXPECT_EQ(countInLog("entry-0", "event=settings.reloaded"), 0);
 }
 
+// Guards against a change to a fraction that is refused, and against one that
+// cannot be read and still takes effect.
+TEST_F(ReloadTest, fractionIsAppliedAndUnreadableOneChangesNothing) {
+  std::string Valid = readSettings("entry-0") + "drain_limit = 4.5s\n";
+  writeSettings("entry-0", Valid);
+  m_Entry->signal(SIGHUP);
+  waitForLog("entry-0", "applied=bounds.drain_limit restart_needed=0");
+  writeSettings("entry-0", Valid + "lease = 0,8s\n");
+  m_Entry->signal(SIGHUP);
+  waitForLog("entry-0", "event=settings.rejected file=");
+  EXPECT_NE(readLog("entry-0").find("lease = 0,8s: expected a duration"),
+            std::string::npos);
+  EXPECT_EQ(countInLog("entry-0", "event=settings.reloaded"), 1);
+  expectServing("00000000000000b5");
+}
+
 // Guards against a comparison with another version than the operator means.
 TEST_F(ReloadTest, configurationIsComparedWithTheVersionInForce) {
   std::string File = m_Folder + "/next.json";
