--- a/packages/settings/inireader.h
+++ b/packages/settings/inireader.h
@@ -54,6 +54,12 @@
   std::uint64_t size(const std::string &Section, const std::string &Key,
                      std::uint64_t Default);
 
+  /// Reads a number of megabytes from \p Min to \p Max without a unit and
+  /// returns it in bytes, rounded down.
+  std::uint64_t megabytes(const std::string &Section, const std::string &Key,
+                          std::uint64_t DefaultBytes, std::uint32_t Min,
+                          std::uint32_t Max);
+
   /// Reads one of the values \p Allowed.
   std::string choice(const std::string &Section, const std::string &Key,
                      const std::string &Default,
--- a/packages/settings/internal/inireader.cpp
+++ b/packages/settings/internal/inireader.cpp
@@ -14,6 +14,9 @@
 constexpr std::size_t MaxNameLength = 63;
 constexpr std::uint32_t MaxPort = 65535;
 constexpr std::int64_t MaxPercent = 100;
+constexpr std::int64_t Kilobyte = 1024;
+constexpr std::int64_t Megabyte = 1024 * Kilobyte;
+constexpr std::int64_t Gigabyte = 1024 * Megabyte;
 const char *const NameSyntax = "a name of 1 to 63 letters, digits, '-' and '.'";
 const char *const AddressSyntax = "an address IP:PORT";
 
@@ -33,10 +36,7 @@
 /// A product of a number and a unit, rounded down.
 std::optional<std::int64_t> toSize(const std::string &Text) {
   static const std::map<std::string, std::int64_t, std::less<>> Bytes = {
-      {"B", 1},
-      {"KB", 1024LL},
-      {"MB", 1024LL * 1024},
-      {"GB", 1024LL * 1024 * 1024}};
+      {"B", 1}, {"KB", Kilobyte}, {"MB", Megabyte}, {"GB", Gigabyte}};
   auto Prefix = parseDecimalPrefix(Text);
   if (!Prefix)
     return std::nullopt;
@@ -270,6 +270,23 @@
   return Default;
 }
 
+std::uint64_t IniReader::megabytes(const std::string &Section,
+                                   const std::string &Key,
+                                   std::uint64_t DefaultBytes,
+                                   std::uint32_t Min, std::uint32_t Max) {
+  const IniValue *Value = m_Impl->find(Section, Key);
+  if (!Value)
+    return DefaultBytes;
+  auto Number = parseDecimal(Value->m_Text);
+  auto Bytes = Number ? floorOfProduct(*Number, Megabyte) : std::nullopt;
+  if (Bytes && *Bytes >= Min * Megabyte && *Bytes <= Max * Megabyte)
+    return static_cast<std::uint64_t>(*Bytes);
+  m_Impl->addBadValue(Key, *Value, ResultCode::BadNumber,
+                      "a number of megabytes from " + std::to_string(Min) +
+                          " to " + std::to_string(Max));
+  return DefaultBytes;
+}
+
 std::string IniReader::choice(const std::string &Section,
                               const std::string &Key,
                               const std::string &Default,
--- a/packages/settings/internal/limitsettings.cpp
+++ b/packages/settings/internal/limitsettings.cpp
@@ -58,10 +58,8 @@
 LimitSettings readLimitSettings(IniReader &Reader) {
   LimitSettings Settings;
   Settings.m_MemoryBytes =
-      MegaByte * Reader.number(Section, "memory_mb",
-                               static_cast<std::uint32_t>(
-                                   Settings.m_MemoryBytes / MegaByte),
-                               MinMemoryMegaBytes, MaxMemoryMegaBytes);
+      Reader.megabytes(Section, "memory_mb", Settings.m_MemoryBytes,
+                       MinMemoryMegaBytes, MaxMemoryMegaBytes);
   Settings.m_Descriptors =
       Reader.number(Section, "descriptors", Settings.m_Descriptors,
                     MinDescriptors, MaxDescriptors);
