Differences of configurations show durations exactly

The one text form of durations is used in differences, findings and errors; three conversions of their own are gone.

--- a/packages/configuration/internal/configurationcheck.cpp
+++ b/packages/configuration/internal/configurationcheck.cpp
@@ -1,5 +1,7 @@
 #include "configuration/configurationcheck.h"
 
+#include "core/types/durationtext.h"
+
 #include <algorithm>
 #include <cctype>
 
@@ -7,10 +9,6 @@
 
 namespace {
 
-std::string text(Duration Span) {
-  return std::to_string(toMilliseconds(Span)) + " ms";
-}
-
 class Checker {
 public:
   Checker(const DesiredState &State, const CheckFacts &Facts)
@@ -107,17 +105,17 @@
                        "the timeout is zero, so no job can end in time");
     else if (Route.m_Timeout < Route.m_TargetLatency)
       AddContradiction(Severity::Error,
-                       "the timeout of " + text(Route.m_Timeout) +
+                       "the timeout of " + formatDuration(Route.m_Timeout) +
                            " is shorter than the target latency of " +
-                           text(Route.m_TargetLatency));
+                           formatDuration(Route.m_TargetLatency));
     else if (Route.m_MaxAttempts > 1 &&
              Route.m_Timeout < Route.m_TargetLatency * Route.m_MaxAttempts)
       AddContradiction(Severity::Warning,
                        std::to_string(Route.m_MaxAttempts) +
                            " attempts with a target latency of " +
-                           text(Route.m_TargetLatency) +
+                           formatDuration(Route.m_TargetLatency) +
                            " don't fit into the timeout of " +
-                           text(Route.m_Timeout));
+                           formatDuration(Route.m_Timeout));
     if (Route.m_MaxAttempts == 0)
       AddContradiction(Severity::Warning,
                        "0 attempts have the effect of 1, because the first "
@@ -167,16 +165,17 @@
                            std::to_string(Service.m_Connections) +
                            " are allowed");
     if (Service.m_DefaultDeadline > Service.m_MaxDeadline)
-      AddContradiction(Severity::Error, "the default deadline of " +
-                                            text(Service.m_DefaultDeadline) +
-                                            " exceeds the maximum of " +
-                                            text(Service.m_MaxDeadline));
+      AddContradiction(Severity::Error,
+                       "the default deadline of " +
+                           formatDuration(Service.m_DefaultDeadline) +
+                           " exceeds the maximum of " +
+                           formatDuration(Service.m_MaxDeadline));
     if (Service.m_LongThreshold > Service.m_MaxDeadline)
       AddContradiction(Severity::Warning,
                        "no task can be long: the threshold of " +
-                           text(Service.m_LongThreshold) +
+                           formatDuration(Service.m_LongThreshold) +
                            " exceeds the maximum deadline of " +
-                           text(Service.m_MaxDeadline));
+                           formatDuration(Service.m_MaxDeadline));
     else if (Service.m_LongSharePercent == 0)
       AddContradiction(Severity::Warning,
                        "a long share of 0% has the effect of one slot, so "
@@ -196,10 +195,11 @@
                        "bodies of 0 bytes are allowed: no job fits");
     if (Limits.m_HeaderTimeout && Limits.m_IdleTimeout &&
         *Limits.m_HeaderTimeout > *Limits.m_IdleTimeout)
-      AddContradiction(Severity::Warning, "the header timeout of " +
-                                              text(*Limits.m_HeaderTimeout) +
-                                              " exceeds the idle timeout of " +
-                                              text(*Limits.m_IdleTimeout));
+      AddContradiction(Severity::Warning,
+                       "the header timeout of " +
+                           formatDuration(*Limits.m_HeaderTimeout) +
+                           " exceeds the idle timeout of " +
+                           formatDuration(*Limits.m_IdleTimeout));
     std::uint64_t HeaderBytes = Limits.m_MaxHeaderBytes.value_or(0);
     std::uint64_t BodyBytes = Limits.m_MaxBodyBytes.value_or(0);
     // Written without a sum, which could wrap around.
--- a/packages/configuration/internal/desiredstate.cpp
+++ b/packages/configuration/internal/desiredstate.cpp
@@ -1,5 +1,7 @@
 #include "configuration/types/desiredstate.h"
 
+#include "core/types/durationtext.h"
+
 #include <sstream>
 
 namespace cyclamenwalk {
@@ -8,9 +10,7 @@
 
 using FlatValues = std::map<std::string, std::string>;
 
-std::string text(Duration Value) {
-  return std::to_string(toMilliseconds(Value)) + "ms";
-}
+std::string text(Duration Value) { return formatDuration(Value); }
 
 std::string text(std::uint32_t Value) { return std::to_string(Value); }
 
--- a/packages/configuration/tests/configuration_test.cpp
+++ b/packages/configuration/tests/configuration_test.cpp
@@ -204,6 +204,18 @@
   EXPECT_TRUE(listChanges(After, After).empty());
 }
 
+// Guards against a changed fraction of a millisecond that an operator does not
+// see.
+TEST(DesiredState, listsChangesBelowAMillisecond) {
+  DesiredState Before = parseNames("a");
+  DesiredState After = parseNames("a");
+  Before.m_Services["a"].m_LongThreshold = milliseconds(1500);
+  After.m_Services["a"].m_LongThreshold = microseconds(1'500'500);
+  EXPECT_EQ(
+      listChanges(Before, After),
+      std::vector<std::string>{"~ service a long_threshold = 1.5s -> 1.5005s"});
+}
+
 // With two operators and a store that randomly fails or loses replies, accepted
 // versions are distinct, each of them was written, and the version in force
 // never decreases.
--- a/packages/settings/internal/desiredstatereader.cpp
+++ b/packages/settings/internal/desiredstatereader.cpp
@@ -1,5 +1,6 @@
 #include "settings/desiredstatereader.h"
 
+#include "core/types/durationtext.h"
 #include "settings/inireader.h"
 
 namespace cyclamenwalk {
@@ -12,13 +13,6 @@
 constexpr std::uint32_t MaxWeight = 1000;
 constexpr std::uint32_t MaxQuota = 1000000;
 
-/// Formats \p Span in the smallest unit of the settings.
-std::string formatMicroseconds(Duration Span) {
-  return std::to_string(
-             std::chrono::duration_cast<microseconds>(Span).count()) +
-         "us";
-}
-
 ServiceConfig readService(IniReader &Reader, const std::string &Section) {
   ServiceConfig Service;
   Service.m_Slots = Reader.number(Section, "slots", 0, 0, MaxSlots);
@@ -37,9 +31,9 @@
   if (Service.m_DefaultDeadline > Service.m_MaxDeadline)
     Reader.addProblem(Section, "default_deadline", ResultCode::BadDuration,
                       "default_deadline is " +
-                          formatMicroseconds(Service.m_DefaultDeadline) +
+                          formatDuration(Service.m_DefaultDeadline) +
                           ", expected at most max_deadline, " +
-                          formatMicroseconds(Service.m_MaxDeadline));
+                          formatDuration(Service.m_MaxDeadline));
   return Service;
 }
 
