A timeout below a millisecond no longer counts as none

With a timeout of 0.5 ms a call to a silent server never ended. Timeouts are rounded up now.

MultiplexHttpTest.timeoutBelowAMillisecondEndsTheCall failed before (no end within 5 s); http_test passes, 40 tests.

--- a/packages/http/internal/httptransfer.cpp
+++ b/packages/http/internal/httptransfer.cpp
@@ -2,6 +2,8 @@
 
 #include "core/log.h"
 
+#include <algorithm>
+
 namespace cyclamenwalk {
 
 namespace {
@@ -12,6 +14,12 @@
   return Size * Count;
 }
 
+/// Rounded up, as curl takes 0 for no timeout.
+long wholeMilliseconds(Duration Timeout) {
+  auto Rounded = std::chrono::ceil<milliseconds>(Timeout);
+  return static_cast<long>(std::max(Rounded, milliseconds(1)).count());
+}
+
 HttpFailure toFailure(CURLcode Result) {
   switch (Result) {
   case CURLE_OK:
@@ -50,10 +58,9 @@
   curl_easy_setopt(Handle, CURLOPT_CUSTOMREQUEST, m_Request.m_Method.c_str());
   curl_easy_setopt(Handle, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(Handle, CURLOPT_TCP_NODELAY, 1L);
-  curl_easy_setopt(Handle, CURLOPT_TIMEOUT_MS,
-                   static_cast<long>(toMilliseconds(m_Timeout)));
+  curl_easy_setopt(Handle, CURLOPT_TIMEOUT_MS, wholeMilliseconds(m_Timeout));
   curl_easy_setopt(Handle, CURLOPT_CONNECTTIMEOUT_MS,
-                   static_cast<long>(toMilliseconds(ConnectTimeout)));
+                   wholeMilliseconds(ConnectTimeout));
   curl_easy_setopt(Handle, CURLOPT_SOCKOPTFUNCTION, &prepareSocket);
   curl_easy_setopt(Handle, CURLOPT_SOCKOPTDATA, this);
   // The callback of the request for which a connection was opened closes it,
--- a/packages/http/tests/multiplexhttp_test.cpp
+++ b/packages/http/tests/multiplexhttp_test.cpp
@@ -203,6 +203,16 @@
   EXPECT_EQ(Poll.get().m_Failure, HttpFailure::TimedOut);
 }
 
+// Guards against a timeout below a millisecond that counts as none.
+TEST_F(MultiplexHttpTest, timeoutBelowAMillisecondEndsTheCall) {
+  ScriptedServer Server(keepConnections(
+      [](const ReceivedRequest &) -> ServerReaction { return {}; }));
+  auto Answer =
+      start(makeRequest("POST", Server, "/silent"), microseconds(500));
+  ASSERT_EQ(Answer.wait_for(LongTimeout), std::future_status::ready);
+  EXPECT_EQ(Answer.get().m_Failure, HttpFailure::TimedOut);
+}
+
 TEST_F(MultiplexHttpTest, truncatedResponseIsNoResponse) {
   ScriptedServer Server([](const ReceivedRequest &) -> ServerReaction {
     return {"HTTP/1.1 409 Conflict\r\nContent-Length: 90\r\n\r\n"
