--- a/packages/core/internal/decimal.cpp
+++ b/packages/core/internal/decimal.cpp
@@ -1,13 +1,17 @@
 #include "core/types/decimal.h"
 
+#include <algorithm>
 #include <boost/multiprecision/cpp_int.hpp>
 #include <charconv>
+#include <cstdlib>
 #include <limits>
 
 namespace cyclamenwalk {
 
 namespace {
 
+using boost::multiprecision::cpp_int;
+
 constexpr std::string_view DecimalDigits = "0123456789";
 constexpr std::size_t MaxExponentDigits = 3;
 /// More than the digits of INT64_MAX.
@@ -42,6 +46,13 @@
   return IsNegative ? -Exponent : Exponent;
 }
 
+cpp_int powerOfTen(int Exponent) {
+  cpp_int Power = 1;
+  for (int I = 0; I < Exponent; ++I)
+    Power *= 10;
+  return Power;
+}
+
 Decimal normalized(std::string Digits, int Exponent) {
   auto First = Digits.find_first_not_of('0');
   if (First == std::string::npos)
@@ -84,14 +95,12 @@
 
 std::optional<std::int64_t> floorOfProduct(const Decimal &Number,
                                            std::int64_t Factor) {
-  using boost::multiprecision::cpp_int;
   int Magnitude = static_cast<int>(Number.m_Digits.size()) + Number.m_Exponent;
   if (Number.m_Digits.empty() || Factor == 0 || Magnitude < -MaxMagnitude)
     return 0;
   if (Magnitude > MaxMagnitude)
     return std::nullopt;
-  auto Power = static_cast<unsigned>(std::abs(Number.m_Exponent));
-  cpp_int Scale = boost::multiprecision::pow(cpp_int(10), Power);
+  cpp_int Scale = powerOfTen(std::abs(Number.m_Exponent));
   cpp_int Product = cpp_int(Number.m_Digits) * Factor;
   if (Number.isWhole())
     Product *= Scale;
