--- a/scripts/explore.sh
+++ b/scripts/explore.sh
@@ -6,7 +6,7 @@
 SEED="${1:-$RANDOM$RANDOM}"
 CASES="${2:-2000}"
 echo "seed $SEED, $CASES cases"
-for test in request/request_test job/job_test configuration/configuration_test \
+for test in core/core_test request/request_test job/job_test configuration/configuration_test \
   membership/membership_test policy/policy_test protocol/protocol_test \
   settings/settings_test entry/entry_test; do
   RC_PARAMS="seed=$SEED max_success=$CASES" "build/packages/$test" \
