--- a/packages/settings/tests/inireader_test.cpp
+++ b/packages/settings/tests/inireader_test.cpp
@@ -1,7 +1,8 @@
 #include "settings/inireader.h"
 
+#include <functional>
 #include <gtest/gtest.h>
-#include <rapidcheck.h>
+#include <optional>
 
 using namespace cyclamenwalk;
 
